Set down the design, the core types and the checks

Cause: the project starts empty; every later part needs one shape to keep to. Conclusion: parts can now be built against these types.

--- /dev/null
+++ b/jest.config.js
@@ -0,0 +1,12 @@
+export default {
+  testEnvironment: 'node',
+  extensionsToTreatAsEsm: ['.ts'],
+  moduleNameMapper: { '^(\\.{1,2}/.*)\\.js$': '$1' },
+  transform: {
+    '^.+\\.ts$': [
+      '@swc/jest',
+      { jsc: { parser: { syntax: 'typescript' }, target: 'es2022' }, module: { type: 'es6' } },
+    ],
+  },
+  testMatch: ['<rootDir>/test/**/*.test.ts'],
+};
--- /dev/null
+++ b/src/core/CounterName.ts
@@ -0,0 +1,11 @@
+/** Events counted besides refusals and retries. */
+export type CounterName =
+  | 'late_answer_dropped'
+  | 'grant_expired'
+  | 'lease_lapsed'
+  | 'claim_lost'
+  | 'gang_stopped'
+  | 'reclaim_started'
+  | 'message_rejected'
+  | 'record_unknown'
+  | 'caller_reset';
--- /dev/null
+++ b/src/core/Role.ts
@@ -0,0 +1,2 @@
+/** Kind of daemon; every entry VM runs one of each. */
+export type Role = 'gateway' | 'scheduler' | 'recorder';
--- /dev/null
+++ b/src/core/Self.ts
@@ -0,0 +1,10 @@
+import type { Role } from './Role.js';
+
+/** What a daemon knows of itself from its configuration. */
+export interface Self {
+  vmId: string;
+  zone: string;
+  role: Role;
+  /** Random id of this process; a restarted daemon has another one. */
+  incarnation: string;
+}
--- /dev/null
+++ b/src/core/commands/answerCommand.ts
@@ -0,0 +1,10 @@
+import type { Effect } from '../Effect.js';
+import type { NodeId } from '../NodeId.js';
+import type { CommandResult } from './CommandResult.js';
+
+/** Builds the effect that answers a command to the gateway that passed it on. */
+export const answerCommand = (to: NodeId, requestId: string, result: CommandResult): Effect => ({
+  type: 'send',
+  to,
+  message: { type: 'commandResult', requestId, result },
+});
--- /dev/null
+++ b/src/core/commands/handleCommand.ts
@@ -0,0 +1,26 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import { jobsCommandHandlers } from '../jobs/jobsCommandHandlers.js';
+import { settingsCommandHandlers } from '../settings/settingsCommandHandlers.js';
+import type { State } from '../State.js';
+import { usageCommandHandlers } from '../usage/usageCommandHandlers.js';
+import { answerCommand } from './answerCommand.js';
+import type { CommandHandlerTable } from './CommandHandlerTable.js';
+import { statusCommandHandlers } from './statusCommandHandlers.js';
+
+const table: CommandHandlerTable = {
+  ...jobsCommandHandlers,
+  ...settingsCommandHandlers,
+  ...usageCommandHandlers,
+  ...statusCommandHandlers,
+};
+
+type AnyHandler = (state: State, request: EventOf<'command'>) => Effect[];
+
+/** Looks up the handler of a command by its kind. */
+export const handleCommand = (state: State, event: EventOf<'command'>): Effect[] => {
+  const handler = table[event.command.kind] as AnyHandler | undefined;
+  if (handler) return handler(state, event);
+  const refusal = { reason: 'bad-request', outcome: 'not-run' } as const;
+  return [answerCommand(event.from, event.requestId, { ok: false, refusal })];
+};
--- /dev/null
+++ b/src/core/featureTables.ts
@@ -0,0 +1,28 @@
+import { commandsHandlers } from './commands/commandsHandlers.js';
+import { guaranteesHandlers } from './guarantees/guaranteesHandlers.js';
+import type { HandlerTable } from './HandlerTable.js';
+import { jobsHandlers } from './jobs/jobsHandlers.js';
+import { membershipHandlers } from './membership/membershipHandlers.js';
+import { ownershipHandlers } from './ownership/ownershipHandlers.js';
+import { replicationHandlers } from './replication/replicationHandlers.js';
+import { requestsHandlers } from './requests/requestsHandlers.js';
+import { routingHandlers } from './routing/routingHandlers.js';
+import { settingsHandlers } from './settings/settingsHandlers.js';
+import { usageHandlers } from './usage/usageHandlers.js';
+
+/**
+ * Handler tables of all features, in the order in which they see an event. Settings and leases
+ * come first, because the later features decide from them.
+ */
+export const featureTables: readonly HandlerTable[] = [
+  settingsHandlers,
+  membershipHandlers,
+  ownershipHandlers,
+  guaranteesHandlers,
+  jobsHandlers,
+  routingHandlers,
+  requestsHandlers,
+  usageHandlers,
+  commandsHandlers,
+  replicationHandlers,
+];
--- /dev/null
+++ b/src/core/guarantees/createGuaranteesState.ts
@@ -0,0 +1,4 @@
+import type { GuaranteesState } from './GuaranteesState.js';
+
+/** Creates an empty plan. */
+export const createGuaranteesState = (): GuaranteesState => ({ cells: [], unplaced: [] });
--- /dev/null
+++ b/src/core/jobs/JobState.ts
@@ -0,0 +1,11 @@
+/** Phase of a job. */
+export type JobState =
+  | 'queued'
+  | 'preparing'
+  | 'starting'
+  | 'running'
+  | 'checkpointing'
+  | 'stopping'
+  | 'finished'
+  | 'failed'
+  | 'cancelled';
--- /dev/null
+++ b/src/core/log/LogRecord.ts
@@ -0,0 +1,6 @@
+/** One record of a log stream. */
+export interface LogRecord {
+  offset: number;
+  /** JSON data. */
+  data: unknown;
+}
--- /dev/null
+++ b/src/core/membership/ListedVm.ts
@@ -0,0 +1,5 @@
+/** One entry of the platform's VM list. */
+export interface ListedVm {
+  id: string;
+  state: 'live' | 'leaving';
+}
--- /dev/null
+++ b/src/core/membership/MembershipEvent.ts
@@ -0,0 +1,12 @@
+import type { NodeId } from '../NodeId.js';
+import type { ListedVm } from './ListedVm.js';
+
+/** Events about VMs and daemons. */
+export type MembershipEvent =
+  | { type: 'tick' }
+  | { type: 'linkOpened'; node: NodeId; zone: string }
+  | { type: 'linkClosed'; node: NodeId }
+  | { type: 'vmsListed'; vms: ListedVm[] }
+  | { type: 'shutdownRequested' }
+  /** Derived: this scheduler gained or lost the majority of its zone's workers. */
+  | { type: 'leadChanged'; lead: boolean };
--- /dev/null
+++ b/src/core/membership/createMembershipState.ts
@@ -0,0 +1,12 @@
+import type { MembershipState } from './MembershipState.js';
+
+/** Creates the membership state of a daemon that has heard of nobody. */
+export const createMembershipState = (): MembershipState => ({
+  peers: new Map(),
+  listed: new Map(),
+  nextHeartbeatAt: 0,
+  nextRemoteHeartbeatAt: 0,
+  drainingSince: null,
+  listenerClosed: false,
+  exited: false,
+});
--- /dev/null
+++ b/src/core/ownership/OwnershipEvent.ts
@@ -0,0 +1,22 @@
+import type { LeasePurpose } from './LeasePurpose.js';
+import type { WorkerReport } from './WorkerReport.js';
+
+/** Events about worker leases. */
+export type OwnershipEvent =
+  | {
+      type: 'leaseAnswered';
+      workerId: string;
+      purpose: LeasePurpose;
+      /** Monotonic time at which the call was sent. */
+      sentAt: number;
+      report: WorkerReport;
+    }
+  | { type: 'leaseFailed'; workerId: string; purpose: LeasePurpose; sentAt: number; error: string }
+  /** Derived: this scheduler now holds the worker. */
+  | { type: 'workerClaimed'; workerId: string; report: WorkerReport }
+  /** Derived: a held worker answered a renewal. */
+  | { type: 'workerRenewed'; workerId: string; report: WorkerReport }
+  /** Derived: the worker's process restarted and forgot its tasks. */
+  | { type: 'workerRestarted'; workerId: string }
+  /** Derived: this scheduler no longer holds the worker. */
+  | { type: 'workerLost'; workerId: string };
--- /dev/null
+++ b/src/core/ownership/WorkerCall.ts
@@ -0,0 +1,28 @@
+import type { LeasePurpose } from './LeasePurpose.js';
+
+/** A call to a worker's control interface. */
+export type WorkerCall =
+  | {
+      kind: 'lease';
+      purpose: LeasePurpose;
+      holder: string;
+      leaseMs: number;
+      taskLeaseMs: number;
+      renewTasks: string[];
+    }
+  | {
+      kind: 'prepareTask';
+      taskId: string;
+      jobId: string;
+      workspace: string;
+      attempt: number;
+      index: number;
+      parts: number;
+      accelerators: number;
+      leaseMs: number;
+      payload: string;
+      checkpoint?: string;
+    }
+  | { kind: 'startTask'; taskId: string }
+  | { kind: 'stopTask'; taskId: string }
+  | { kind: 'checkpointTask'; taskId: string };
--- /dev/null
+++ b/src/core/replication/ReplicationState.ts
@@ -0,0 +1,13 @@
+import type { NodeId } from '../NodeId.js';
+
+/** Progress of copying keys and jobs to the zone's other schedulers. */
+export interface ReplicationState {
+  sequence: number;
+  acknowledged: Map<NodeId, number>;
+  /** Ids changed since the last `replicate` message. */
+  changedKeys: Set<string>;
+  freedKeys: Set<string>;
+  changedJobs: Set<string>;
+  /** Monotonic time at which a lead's copy last arrived here; -Infinity before the first. */
+  lastCopyAt: number;
+}
--- /dev/null
+++ b/src/core/requests/AttemptPhase.ts
@@ -0,0 +1,2 @@
+/** How far an attempt had come when it failed. */
+export type AttemptPhase = 'notSent' | 'sent' | 'headers';
--- /dev/null
+++ b/src/core/requests/RequestsState.ts
@@ -0,0 +1,13 @@
+import type { Exchange } from './Exchange.js';
+import type { PendingCommand } from './PendingCommand.js';
+
+/** Open requests and commands of a gateway. */
+export interface RequestsState {
+  exchanges: Map<string, Exchange>;
+  commands: Map<string, PendingCommand>;
+  /** Counts of the current retry-budget window. */
+  budget: { windowStartAt: number; requests: number; retries: number };
+  /** Usage of short requests not yet handed to the recorder, by workspace. */
+  counts: Map<string, { answered: number; failed: number; unknown: number; busyMs: number }>;
+  countsMinute: number;
+}
--- /dev/null
+++ b/src/core/routing/ReplicateAckMessage.ts
@@ -0,0 +1,5 @@
+/** Acknowledges `replicate` messages up to a sequence number. */
+export interface ReplicateAckMessage {
+  type: 'replicateAck';
+  sequence: number;
+}
--- /dev/null
+++ b/src/core/routing/RoutingState.ts
@@ -0,0 +1,20 @@
+import type { Grant } from './Grant.js';
+import type { KeyRecord } from './KeyRecord.js';
+import type { WaitingRequest } from './WaitingRequest.js';
+import type { WorkerLoad } from './WorkerLoad.js';
+
+/** Queues, grants and idempotency keys of a scheduler. */
+export interface RoutingState {
+  loads: Map<string, WorkerLoad>;
+  grants: Map<string, Grant>;
+  queues: Map<string, WaitingRequest[]>;
+  /** Virtual time of each workspace for fair turns. */
+  served: Map<string, number>;
+  /** Mean service time of each class over all workers, in milliseconds. */
+  classMeanMs: Map<string, number>;
+  keys: Map<string, KeyRecord>;
+  /** Keyed requests that wait until the zone's other schedulers know their key. */
+  keyWaits: { request: WaitingRequest; sequence: number }[];
+  /** Keyed requests are refused until this monotonic time. */
+  keyMemoryGapUntil: number;
+}
--- /dev/null
+++ b/src/core/routing/WorkerLoad.ts
@@ -0,0 +1,14 @@
+/** What a scheduler has observed of one worker. */
+export interface WorkerLoad {
+  workerId: string;
+  /** Attempt ids of granted and not yet released attempts. */
+  grants: Set<string>;
+  completed: number;
+  /** Moving average of service time by class, in milliseconds. */
+  meanMsByClass: Map<string, number>;
+  meanMs: number | null;
+  consecutiveFailures: number;
+  /** No grant before this monotonic time, except one probe request. */
+  suspectUntil: number;
+  backoffMs: number;
+}
--- /dev/null
+++ b/src/core/routing/createRoutingState.ts
@@ -0,0 +1,13 @@
+import type { RoutingState } from './RoutingState.js';
+
+/** Creates empty queues. */
+export const createRoutingState = (): RoutingState => ({
+  loads: new Map(),
+  grants: new Map(),
+  queues: new Map(),
+  served: new Map(),
+  classMeanMs: new Map(),
+  keys: new Map(),
+  keyWaits: [],
+  keyMemoryGapUntil: 0,
+});
--- /dev/null
+++ b/src/core/settings/SettingsSnapshot.ts
@@ -0,0 +1,11 @@
+import type { SettingsTree } from './SettingsTree.js';
+import type { SubtreePath } from './SubtreePath.js';
+
+/** A tree with the log offsets that produced it. */
+export interface SettingsSnapshot {
+  /** Offset of the newest accepted record; -1 before the first. */
+  version: number;
+  /** Offset of the newest accepted record of each subtree. */
+  subtreeVersions: Partial<Record<SubtreePath, number>>;
+  tree: SettingsTree;
+}
--- /dev/null
+++ b/src/core/settings/settingsHandlers.ts
@@ -0,0 +1,4 @@
+import type { HandlerTable } from '../HandlerTable.js';
+
+/** Handlers of the settings feature. */
+export const settingsHandlers: HandlerTable = {};
--- /dev/null
+++ b/src/core/usage/UsageReplicaAckMessage.ts
@@ -0,0 +1,5 @@
+/** The other VM's recorder holds the batch. */
+export interface UsageReplicaAckMessage {
+  type: 'usageReplicaAck';
+  batchId: string;
+}
