Add worker leases, routing, requests and replication to the core

Cause: the first complete path needs a holder for each worker, grants, attempts and copies of idempotency keys. Ruled out: counting a lease from the answer's arrival (it would outlive the worker's view of it); freeing a key on any failed attempt (only an attempt that was proved not sent may free it). Change: membership, ownership, routing, requests, replication and command handlers, each a lookup table from event type to handler.

--- a/src/core/Timing.ts
+++ b/src/core/Timing.ts
@@ -29,4 +29,6 @@
   retryWindowMs: number;
   commandTimeoutMs: number;
   usageBatchMs: number;
+  /** Length of the intervals in which short requests are counted for the usage record. */
+  usageCountMs: number;
 }
--- a/src/core/commands/statusCommandHandlers.ts
+++ b/src/core/commands/statusCommandHandlers.ts
@@ -1,4 +1,5 @@
 import type { CommandHandlerTable } from './CommandHandlerTable.js';
+import { handleShowStatus } from './handleShowStatus.js';
 
 /** Commands about the state of a daemon. */
-export const statusCommandHandlers: CommandHandlerTable = {};
+export const statusCommandHandlers: CommandHandlerTable = { showStatus: handleShowStatus };
--- a/src/core/defaultTiming.ts
+++ b/src/core/defaultTiming.ts
@@ -22,4 +22,5 @@
   retryWindowMs: 10_000,
   commandTimeoutMs: 10_000,
   usageBatchMs: 500,
+  usageCountMs: 5000,
 };
--- /dev/null
+++ b/src/core/membership/handleShutdownRequested.ts
@@ -0,0 +1,19 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+
+/** Begins a graceful shutdown; features drain on the ticks that follow. */
+export const handleShutdownRequested = (
+  state: State,
+  event: EventOf<'shutdownRequested'>,
+): Effect[] => {
+  if (state.membership.drainingSince !== null) return [];
+  state.membership.drainingSince = event.at;
+  // Peers must learn of the drain before the leases are given back.
+  state.membership.nextHeartbeatAt = event.at;
+  state.membership.nextRemoteHeartbeatAt = event.at;
+  return [
+    { type: 'setReady', ready: false },
+    { type: 'log', level: 'info', code: 'shutdown_started', fields: {} },
+  ];
+};
--- a/src/core/ownership/OwnershipState.ts
+++ b/src/core/ownership/OwnershipState.ts
@@ -6,4 +6,9 @@
   /** Whether the last evaluation found a majority; decisions call `isLead` instead. */
   lead: boolean;
   leadSince: number;
+  /**
+   * Monotonic time at which this process saw the zone's first workers appear in the settings, or
+   * null when they were registered before it knew the tree.
+   */
+  registeredAt: number | null;
 }
--- a/src/core/ownership/WorkerLease.ts
+++ b/src/core/ownership/WorkerLease.ts
@@ -11,4 +11,6 @@
   freeSince: number | null;
   incarnation: string | null;
   leaving: boolean;
+  /** Whether, at the newest claim, no other holder was known to the worker since it was registered. */
+  soleHolder: boolean;
 }
--- /dev/null
+++ b/src/core/ownership/claimWorker.ts
@@ -0,0 +1,40 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { getHolderName } from './getHolderName.js';
+import { isClaimable } from './isClaimable.js';
+import { updateLead } from './updateLead.js';
+import type { WorkerLease } from './WorkerLease.js';
+
+const isSoleHolder = (state: State, event: EventOf<'leaseAnswered'>): boolean => {
+  const { holder, ageMs } = event.report.lastRenewal;
+  const { registeredAt } = state.ownership;
+  if (holder === getHolderName(state.self)) return true;
+  // The process of a worker without a holder must have been up since before the registration;
+  // otherwise it may have been held and has forgotten it.
+  return holder === null && registeredAt !== null && event.at - ageMs <= registeredAt;
+};
+
+/** Takes over a worker if its answer to the claim names no other holder. */
+export const claimWorker = (
+  state: State,
+  lease: WorkerLease,
+  event: EventOf<'leaseAnswered'>,
+): Effect[] => {
+  const fresh = event.at < event.sentAt + state.timing.holderLeaseMs;
+  if (!fresh || !isClaimable(state, event.report, 0)) {
+    lease.status = 'foreign';
+    lease.freeSince = null;
+    return [{ type: 'count', name: 'claim_lost' }];
+  }
+  lease.status = 'held';
+  lease.renewedAt = event.sentAt;
+  lease.incarnation = event.report.incarnation;
+  lease.soleHolder = isSoleHolder(state, event);
+  const { workerId, report } = event;
+  return [
+    { type: 'emit', event: { type: 'workerClaimed', workerId, report } },
+    { type: 'log', level: 'info', code: 'worker_claimed', fields: { workerId } },
+    ...updateLead(state, event.at),
+  ];
+};
--- /dev/null
+++ b/src/core/ownership/handleSettingsChanged.ts
@@ -0,0 +1,45 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { callLease } from './callLease.js';
+import { loseWorker } from './loseWorker.js';
+import type { WorkerLease } from './WorkerLease.js';
+
+const createLease = (workerId: string): WorkerLease => ({
+  workerId,
+  status: 'foreign',
+  renewedAt: -Infinity,
+  callSentAt: null,
+  nextCallAt: 0,
+  freeSince: null,
+  incarnation: null,
+  leaving: false,
+  soleHolder: false,
+});
+
+const removeLease = (state: State, lease: WorkerLease, at: number): Effect[] => {
+  const effects =
+    lease.status === 'held'
+      ? [...callLease(state, lease, 'release', at), ...loseWorker(lease, 'no longer registered')]
+      : [];
+  state.ownership.leases.delete(lease.workerId);
+  return effects;
+};
+
+/** Follows the inventory of this scheduler's zone. O(workers of the zone). */
+export const handleSettingsChanged = (
+  state: State,
+  event: EventOf<'settingsChanged'>,
+): Effect[] => {
+  if (state.self.role !== 'scheduler') return [];
+  const { ownership } = state;
+  const workers = event.snapshot.tree.zones[state.self.zone]?.workers ?? {};
+  const known = Object.keys(workers);
+  if (known.length === 0) ownership.registeredAt = event.at;
+  const gone = [...ownership.leases.values()].filter((lease) => !(lease.workerId in workers));
+  const effects = gone.flatMap((lease) => removeLease(state, lease, event.at));
+  known
+    .filter((workerId) => !ownership.leases.has(workerId))
+    .forEach((workerId) => ownership.leases.set(workerId, createLease(workerId)));
+  return effects;
+};
--- /dev/null
+++ b/src/core/ownership/handleShutdownRequested.ts
@@ -0,0 +1,24 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { callLease } from './callLease.js';
+import { isHeld } from './isHeld.js';
+import { loseWorker } from './loseWorker.js';
+import { updateLead } from './updateLead.js';
+
+/** Gives every held worker back, so that the successor need not wait for the leases to lapse. */
+export const handleShutdownRequested = (
+  state: State,
+  event: EventOf<'shutdownRequested'>,
+): Effect[] => {
+  const held = [...state.ownership.leases.values()].filter((lease) =>
+    isHeld(state, lease.workerId, event.at),
+  );
+  return [
+    ...held.flatMap((lease) => [
+      ...callLease(state, lease, 'release', event.at),
+      ...loseWorker(lease, 'shutdown'),
+    ]),
+    ...updateLead(state, event.at),
+  ];
+};
--- /dev/null
+++ b/src/core/ownership/isLead.ts
@@ -0,0 +1,13 @@
+import type { State } from '../State.js';
+import { isHeld } from './isHeld.js';
+
+/**
+ * Tells whether this scheduler holds more than half of its zone's registered workers that are not
+ * drained. Two majorities share a worker, so a zone has at most one lead. O(workers of the zone).
+ */
+export const isLead = (state: State, at: number): boolean => {
+  const workers = state.settings.inForce?.tree.zones[state.self.zone]?.workers ?? {};
+  const counted = Object.entries(workers).filter(([, worker]) => !worker.drained);
+  const held = counted.filter(([workerId]) => isHeld(state, workerId, at)).length;
+  return held * 2 > counted.length;
+};
--- /dev/null
+++ b/src/core/ownership/loseWorker.ts
@@ -0,0 +1,17 @@
+import type { Effect } from '../Effect.js';
+import type { WorkerLease } from './WorkerLease.js';
+
+/** Drops the hold on a worker and tells the other features. */
+export const loseWorker = (lease: WorkerLease, reason: string): Effect[] => {
+  lease.status = 'foreign';
+  lease.freeSince = null;
+  return [
+    { type: 'emit', event: { type: 'workerLost', workerId: lease.workerId } },
+    {
+      type: 'log',
+      level: 'warn',
+      code: 'worker_lost',
+      fields: { workerId: lease.workerId, reason },
+    },
+  ];
+};
--- /dev/null
+++ b/src/core/ownership/probeWorker.ts
@@ -0,0 +1,27 @@
+import { computeRank } from '../membership/computeRank.js';
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { callLease } from './callLease.js';
+import { isClaimable } from './isClaimable.js';
+import type { WorkerLease } from './WorkerLease.js';
+
+/** Claims a worker that is free, after the delay of this scheduler's rank. */
+export const probeWorker = (
+  state: State,
+  lease: WorkerLease,
+  event: EventOf<'leaseAnswered'>,
+): Effect[] => {
+  if (!isClaimable(state, event.report, state.timing.claimMarginMs)) {
+    lease.freeSince = null;
+    return [];
+  }
+  lease.freeSince ??= event.at;
+  const claimAt = lease.freeSince + computeRank(state, event.at) * state.timing.rankDelayMs;
+  if (event.at < claimAt) {
+    lease.nextCallAt = Math.min(lease.nextCallAt, claimAt);
+    return [];
+  }
+  lease.status = 'claiming';
+  return callLease(state, lease, 'claim', event.at);
+};
--- /dev/null
+++ b/src/core/ownership/renewWorker.ts
@@ -0,0 +1,27 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { checkLapse } from './checkLapse.js';
+import type { WorkerLease } from './WorkerLease.js';
+
+/**
+ * Extends a lease that is still valid. While it is, no other claim can have been valid, whatever
+ * name the worker reports; once it has lapsed, only a new claim can restore it.
+ */
+export const renewWorker = (
+  state: State,
+  lease: WorkerLease,
+  event: EventOf<'leaseAnswered'>,
+): Effect[] => {
+  const lapse = checkLapse(state, lease, event.at);
+  if (lapse.length > 0) return lapse;
+  if (lease.status !== 'held') return [];
+  const { workerId, report } = event;
+  const restarted = lease.incarnation !== report.incarnation;
+  lease.renewedAt = Math.max(lease.renewedAt, event.sentAt);
+  lease.incarnation = report.incarnation;
+  const renewed: Effect = { type: 'emit', event: { type: 'workerRenewed', workerId, report } };
+  return restarted
+    ? [{ type: 'emit', event: { type: 'workerRestarted', workerId } }, renewed]
+    : [renewed];
+};
--- /dev/null
+++ b/src/core/refuse.ts
@@ -0,0 +1,10 @@
+import type { Outcome } from './Outcome.js';
+import type { Refusal } from './Refusal.js';
+import type { RefusalReason } from './RefusalReason.js';
+
+/** Builds a refusal; without a delay, waiting does not help. */
+export const refuse = (
+  reason: RefusalReason,
+  outcome: Outcome = 'not-run',
+  retryAfterMs?: number,
+): Refusal => ({ reason, outcome, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) });
--- a/src/core/replication/ReplicationState.ts
+++ b/src/core/replication/ReplicationState.ts
@@ -8,6 +8,7 @@
   changedKeys: Set<string>;
   freedKeys: Set<string>;
   changedJobs: Set<string>;
-  /** Monotonic time at which a lead's copy last arrived here; -Infinity before the first. */
+  /** Monotonic time at which a lead's complete copy last arrived here; -Infinity before the first. */
   lastCopyAt: number;
+  nextCopyAt: number;
 }
--- a/src/core/replication/createReplicationState.ts
+++ b/src/core/replication/createReplicationState.ts
@@ -8,4 +8,5 @@
   freedKeys: new Set(),
   changedJobs: new Set(),
   lastCopyAt: -Infinity,
+  nextCopyAt: 0,
 });
--- /dev/null
+++ b/src/core/replication/handleLinkOpened.ts
@@ -0,0 +1,14 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import { getNodeRole } from '../getNodeRole.js';
+import { isLead } from '../ownership/isLead.js';
+import type { State } from '../State.js';
+import { sendFullCopy } from './sendFullCopy.js';
+
+/** Brings a scheduler of the zone up to date when its link opens. */
+export const handleLinkOpened = (state: State, event: EventOf<'linkOpened'>): Effect[] => {
+  if (state.self.role !== 'scheduler' || getNodeRole(event.node) !== 'scheduler') return [];
+  state.replication.acknowledged.delete(event.node);
+  if (event.zone !== state.self.zone || !isLead(state, event.at)) return [];
+  return sendFullCopy(state, event.node);
+};
--- /dev/null
+++ b/src/core/replication/handleReplicateAck.ts
@@ -0,0 +1,12 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import { grantKeyWaits } from '../routing/grantKeyWaits.js';
+import type { State } from '../State.js';
+
+/** Notes what a peer has copied and grants the keyed requests that waited for it. */
+export const handleReplicateAck = (state: State, event: EventOf<'replicateAck'>): Effect[] => {
+  const { acknowledged } = state.replication;
+  const known = acknowledged.get(event.from) ?? -1;
+  acknowledged.set(event.from, Math.max(known, event.sequence));
+  return grantKeyWaits(state, event.at);
+};
--- /dev/null
+++ b/src/core/replication/handleShutdownRequested.ts
@@ -0,0 +1,14 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { sendCopies } from './sendCopies.js';
+
+/** Sends the last changes before this scheduler ends. */
+export const handleShutdownRequested = (
+  state: State,
+  event: EventOf<'shutdownRequested'>,
+): Effect[] => {
+  const { changedKeys, freedKeys, changedJobs } = state.replication;
+  const pending = changedKeys.size + freedKeys.size + changedJobs.size > 0;
+  return state.self.role === 'scheduler' && pending ? sendCopies(state, event.at) : [];
+};
--- /dev/null
+++ b/src/core/requests/CommandRoute.ts
@@ -0,0 +1,15 @@
+import type { AccessTarget } from '../access/AccessTarget.js';
+import type { Command } from '../commands/Command.js';
+import type { NodeId } from '../NodeId.js';
+import type { State } from '../State.js';
+
+/** How a gateway treats one kind of command. */
+export interface CommandRoute<K extends Command['kind']> {
+  /** What a token must open. */
+  getAccess: (command: Extract<Command, { kind: K }>) => AccessTarget;
+  /** Completes the command with the zone that decides it. */
+  resolveZone: (state: State, command: Extract<Command, { kind: K }>) => Command;
+  findTargets: (state: State, command: Extract<Command, { kind: K }>, at: number) => NodeId[];
+  /** Whether the command changes anything, so that a missing answer leaves its outcome unknown. */
+  changes: boolean;
+}
--- a/src/core/requests/Exchange.ts
+++ b/src/core/requests/Exchange.ts
@@ -13,8 +13,11 @@
   phase: 'asking' | 'waiting' | 'granted' | 'sent' | 'answering';
   attempt: number;
   scheduler: NodeId | null;
+  askedAt: number;
   workerId: string | null;
   dispatchedAt: number;
+  /** Status of the worker's answer, or null before its headers arrived. */
+  status: number | null;
   /** Workers on which earlier attempts failed. */
   avoid: string[];
 }
--- a/src/core/requests/PendingCommand.ts
+++ b/src/core/requests/PendingCommand.ts
@@ -1,7 +1,17 @@
-/** A command passed on, whose answer is awaited. */
+import type { Command } from '../commands/Command.js';
+import type { NodeId } from '../NodeId.js';
+
+/** A command passed on, whose answers are awaited. */
 export interface PendingCommand {
   requestId: string;
+  kind: Command['kind'];
   deadlineAt: number;
   /** Whether the command may have taken effect although no answer came. */
   changes: boolean;
+  /** Nodes that have not answered yet. */
+  open: Set<NodeId>;
+  /** Data of each node that answered, by zone; merged when all have. */
+  answers: Record<string, unknown>;
+  /** Number of nodes asked; with one, its answer is passed on as it is. */
+  asked: number;
 }
--- a/src/core/requests/RequestsState.ts
+++ b/src/core/requests/RequestsState.ts
@@ -1,5 +1,6 @@
 import type { Exchange } from './Exchange.js';
 import type { PendingCommand } from './PendingCommand.js';
+import type { RequestCounts } from './RequestCounts.js';
 
 /** Open requests and commands of a gateway. */
 export interface RequestsState {
@@ -8,6 +9,6 @@
   /** Counts of the current retry-budget window. */
   budget: { windowStartAt: number; requests: number; retries: number };
   /** Usage of short requests not yet handed to the recorder, by workspace. */
-  counts: Map<string, { answered: number; failed: number; unknown: number; busyMs: number }>;
-  countsMinute: number;
+  counts: Map<string, RequestCounts>;
+  nextCountsAt: number;
 }
--- /dev/null
+++ b/src/core/requests/askGrant.ts
@@ -0,0 +1,35 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import { chooseExchangeScheduler } from './chooseExchangeScheduler.js';
+import type { Exchange } from './Exchange.js';
+
+/** Asks for a grant for the next attempt; without a scheduler the exchange stays `asking`. */
+export const askGrant = (state: State, exchange: Exchange, at: number): Effect[] => {
+  const scheduler = chooseExchangeScheduler(state, exchange, at);
+  exchange.phase = 'asking';
+  exchange.scheduler = null;
+  if (!scheduler) return [];
+  exchange.phase = 'waiting';
+  exchange.scheduler = scheduler.node;
+  exchange.askedAt = at;
+  exchange.attempt += 1;
+  return [
+    {
+      type: 'send',
+      to: scheduler.node,
+      message: {
+        type: 'grantRequest',
+        requestId: exchange.requestId,
+        attempt: exchange.attempt,
+        workspace: exchange.workspace,
+        requestClass: exchange.requestClass,
+        idempotent: exchange.idempotent,
+        ...(exchange.idempotencyKey === undefined
+          ? {}
+          : { idempotencyKey: exchange.idempotencyKey }),
+        timeoutMs: exchange.deadlineAt - at,
+        avoid: exchange.avoid,
+      },
+    },
+  ];
+};
--- /dev/null
+++ b/src/core/requests/chooseExchangeScheduler.ts
@@ -0,0 +1,28 @@
+import type { Peer } from '../membership/Peer.js';
+import type { State } from '../State.js';
+import { chooseScheduler } from './chooseScheduler.js';
+import type { Exchange } from './Exchange.js';
+import { findKeyZone } from './findKeyZone.js';
+
+/**
+ * Chooses whom to ask for a grant: the key's home zone for a keyed non-idempotent request, else the
+ * own zone, else any other zone that has a lead.
+ */
+export const chooseExchangeScheduler = (
+  state: State,
+  exchange: Exchange,
+  at: number,
+): Peer | null => {
+  const { idempotencyKey, idempotent, workspace } = exchange;
+  if (idempotencyKey !== undefined && !idempotent) {
+    const zone = findKeyZone(state, workspace, idempotencyKey);
+    return zone === null ? null : chooseScheduler(state, zone, true, at);
+  }
+  const local = chooseScheduler(state, state.self.zone, false, at);
+  if (local) return local;
+  return (
+    Object.keys(state.settings.inForce?.tree.zones ?? {})
+      .map((zone) => chooseScheduler(state, zone, true, at))
+      .find((peer) => peer !== null) ?? null
+  );
+};
--- /dev/null
+++ b/src/core/requests/commandRoutes.ts
@@ -0,0 +1,105 @@
+import type { AccessTarget } from '../access/AccessTarget.js';
+import type { Command } from '../commands/Command.js';
+import type { NodeId } from '../NodeId.js';
+import type { State } from '../State.js';
+import { chooseScheduler } from './chooseScheduler.js';
+import type { CommandRoute } from './CommandRoute.js';
+import { findJobZone } from './findJobZone.js';
+
+const findLead = (state: State, zone: string, at: number): NodeId[] => {
+  const lead = chooseScheduler(state, zone, true, at);
+  return lead ? [lead.node] : [];
+};
+
+const findJobLead = (state: State, command: { jobId: string }, at: number): NodeId[] =>
+  findLead(state, command.jobId.slice(0, command.jobId.lastIndexOf('.')), at);
+
+const findAllLeads = (state: State, _command: unknown, at: number): NodeId[] =>
+  Object.keys(state.settings.inForce?.tree.zones ?? {}).flatMap((zone) => {
+    const scheduler =
+      chooseScheduler(state, zone, true, at) ?? chooseScheduler(state, zone, false, at);
+    return scheduler ? [scheduler.node] : [];
+  });
+
+const findRecorder = (state: State): NodeId[] => {
+  const node: NodeId = `${state.self.vmId}/recorder`;
+  return state.membership.peers.get(node)?.linked ? [node] : [];
+};
+
+const findAllSchedulers = (state: State, command: unknown, at: number): NodeId[] => {
+  const leads = findAllLeads(state, command, at);
+  const own: NodeId = `${state.self.vmId}/scheduler`;
+  return leads.length > 0 || !state.membership.peers.get(own)?.linked ? leads : [own];
+};
+
+const keep = <C extends Command>(_state: State, command: C): Command => command;
+
+const getWorkspace = (command: { workspace: string }): AccessTarget => ({
+  kind: 'workspace',
+  workspace: command.workspace,
+});
+
+const getOffice = (): AccessTarget => ({ kind: 'office' });
+
+/** Routes of all commands, by kind. */
+export const commandRoutes: { readonly [K in Command['kind']]: CommandRoute<K> } = {
+  submitJob: {
+    getAccess: getWorkspace,
+    // The zone stands in the id, so that any gateway finds the job again.
+    resolveZone: (state, command) => {
+      const zone = command.zone ?? findJobZone(state, command.workspace);
+      return { ...command, zone, jobId: `${zone}.${command.jobId}` };
+    },
+    findTargets: findJobLead,
+    changes: true,
+  },
+  cancelJob: {
+    getAccess: getWorkspace,
+    resolveZone: keep,
+    findTargets: findJobLead,
+    changes: true,
+  },
+  showJob: {
+    getAccess: getWorkspace,
+    resolveZone: keep,
+    findTargets: findJobLead,
+    changes: false,
+  },
+  listJobs: {
+    getAccess: getWorkspace,
+    resolveZone: keep,
+    findTargets: findAllLeads,
+    changes: false,
+  },
+  showStatus: {
+    getAccess: getOffice,
+    resolveZone: keep,
+    findTargets: findAllSchedulers,
+    changes: false,
+  },
+  showSettings: {
+    getAccess: getOffice,
+    resolveZone: keep,
+    findTargets: findRecorder,
+    changes: false,
+  },
+  proposeSettings: {
+    getAccess: (command) => ({ kind: 'subtree', path: command.path }),
+    resolveZone: keep,
+    findTargets: findRecorder,
+    changes: true,
+  },
+  listProposals: {
+    getAccess: (command) =>
+      command.path === undefined ? getOffice() : { kind: 'subtree', path: command.path },
+    resolveZone: keep,
+    findTargets: findRecorder,
+    changes: false,
+  },
+  reportUsage: {
+    getAccess: getWorkspace,
+    resolveZone: keep,
+    findTargets: findRecorder,
+    changes: false,
+  },
+};
--- a/src/core/requests/createRequestsState.ts
+++ b/src/core/requests/createRequestsState.ts
@@ -6,5 +6,5 @@
   commands: new Map(),
   budget: { windowStartAt: 0, requests: 0, retries: 0 },
   counts: new Map(),
-  countsMinute: 0,
+  nextCountsAt: 0,
 });
--- /dev/null
+++ b/src/core/requests/drainGateway.ts
@@ -0,0 +1,49 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import { buildAttemptId } from './buildAttemptId.js';
+import type { Exchange } from './Exchange.js';
+import { flushCounts } from './flushCounts.js';
+import { noteUse } from './noteUse.js';
+
+const resetExchange = (state: State, exchange: Exchange, at: number): Effect[] => {
+  state.requests.exchanges.delete(exchange.requestId);
+  noteUse(state, exchange, 'unknown', at);
+  const { requestId } = exchange;
+  return [
+    { type: 'abortAttempt', requestId, attemptId: buildAttemptId(exchange) },
+    { type: 'resetCaller', requestId },
+    { type: 'count', name: 'caller_reset' },
+    { type: 'log', level: 'warn', code: 'request_cut_at_shutdown', fields: { requestId } },
+  ];
+};
+
+const exitIfDone = (state: State, late: boolean): Effect[] => {
+  const { membership, requests, usage } = state;
+  const open = requests.exchanges.size + requests.commands.size;
+  const unrecorded = usage.open.length + usage.unacknowledged.size;
+  if (!late && (open > 0 || unrecorded > 0)) return [];
+  membership.exited = true;
+  return [
+    { type: 'log', level: 'info', code: 'shutdown_finished', fields: { open, unrecorded } },
+    { type: 'exit' },
+  ];
+};
+
+/**
+ * Advances a graceful shutdown: the balancer gets time to notice, then the listener closes, then
+ * open requests finish. Requests beyond the bound are reset and reported.
+ */
+export const drainGateway = (state: State, at: number, wall: number): Effect[] => {
+  const { membership, timing, requests } = state;
+  if (membership.drainingSince === null || membership.exited) return [];
+  const elapsed = at - membership.drainingSince;
+  if (elapsed < timing.balancerDrainMs) return [];
+  const close: Effect[] = membership.listenerClosed ? [] : [{ type: 'closeListener' }];
+  membership.listenerClosed = true;
+  const late = elapsed >= timing.shutdownMs;
+  const resets = late
+    ? [...requests.exchanges.values()].flatMap((exchange) => resetExchange(state, exchange, at))
+    : [];
+  const flush = requests.exchanges.size === 0 ? flushCounts(state, wall) : [];
+  return [...close, ...resets, ...flush, ...(flush.length > 0 ? [] : exitIfDone(state, late))];
+};
--- /dev/null
+++ b/src/core/requests/expireCommands.ts
@@ -0,0 +1,9 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import { failCommand } from './failCommand.js';
+
+/** Fails the commands whose answer did not come in time. */
+export const expireCommands = (state: State, at: number): Effect[] =>
+  [...state.requests.commands.values()]
+    .filter((pending) => at >= pending.deadlineAt)
+    .flatMap((pending) => failCommand(state, pending));
--- /dev/null
+++ b/src/core/requests/handleAttemptEnded.ts
@@ -0,0 +1,19 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { findAttempt } from './findAttempt.js';
+import { noteUse } from './noteUse.js';
+import { releaseAttempt } from './releaseAttempt.js';
+
+const firstServerErrorStatus = 500;
+
+/** Ends an exchange whose answer reached the caller whole. */
+export const handleAttemptEnded = (state: State, event: EventOf<'attemptEnded'>): Effect[] => {
+  const exchange = findAttempt(state, event);
+  if (exchange?.phase !== 'answering') return [];
+  const failed = (exchange.status ?? firstServerErrorStatus) >= firstServerErrorStatus;
+  const outcome = failed ? 'failed' : 'answered';
+  state.requests.exchanges.delete(exchange.requestId);
+  noteUse(state, exchange, outcome, event.at);
+  return releaseAttempt(exchange, outcome, event.at);
+};
--- /dev/null
+++ b/src/core/requests/handleAttemptHeaders.ts
@@ -0,0 +1,20 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { findAttempt } from './findAttempt.js';
+import { isDraining } from './isDraining.js';
+
+/** Lets the answer of the present attempt through to the caller; drops any other. */
+export const handleAttemptHeaders = (state: State, event: EventOf<'attemptHeaders'>): Effect[] => {
+  const { requestId, attemptId } = event;
+  const exchange = findAttempt(state, event);
+  if (!exchange || exchange.phase === 'answering') {
+    return [
+      { type: 'abortAttempt', requestId, attemptId },
+      { type: 'count', name: 'late_answer_dropped' },
+    ];
+  }
+  exchange.phase = 'answering';
+  exchange.status = event.status;
+  return [{ type: 'relayAnswer', requestId, attemptId, closeConnection: isDraining(state) }];
+};
--- /dev/null
+++ b/src/core/requests/handleCallerRequested.ts
@@ -0,0 +1,52 @@
+import { isAllowed } from '../access/isAllowed.js';
+import { resolvePrincipal } from '../access/resolvePrincipal.js';
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { Refusal } from '../Refusal.js';
+import { refuse } from '../refuse.js';
+import type { State } from '../State.js';
+import { askGrant } from './askGrant.js';
+import { countRequest } from './countRequest.js';
+import type { Exchange } from './Exchange.js';
+import { refuseExchange } from './refuseExchange.js';
+
+const findRefusal = (state: State, event: EventOf<'callerRequested'>): Refusal | null => {
+  if (state.membership.listenerClosed) return refuse('shutting-down', 'not-run', 1000);
+  if (!state.settings.inForce) return refuse('no-settings', 'not-run', 1000);
+  const principal = resolvePrincipal(state, event.tokenHash);
+  if (!principal) return refuse('unauthorized');
+  if (!state.settings.teamByWorkspace.has(event.workspace)) return refuse('unknown-workspace');
+  const target = { kind: 'workspace', workspace: event.workspace } as const;
+  return isAllowed(state, principal, target) ? null : refuse('forbidden');
+};
+
+const createExchange = (event: EventOf<'callerRequested'>): Exchange => ({
+  requestId: event.requestId,
+  workspace: event.workspace,
+  requestClass: event.requestClass,
+  idempotent: event.idempotent,
+  ...(event.idempotencyKey === undefined ? {} : { idempotencyKey: event.idempotencyKey }),
+  replayable: event.replayable,
+  deadlineAt: event.at + event.timeoutMs,
+  phase: 'asking',
+  attempt: 0,
+  scheduler: null,
+  askedAt: event.at,
+  workerId: null,
+  dispatchedAt: event.at,
+  status: null,
+  avoid: [],
+});
+
+/** Takes a caller's request and asks a scheduler for a worker. */
+export const handleCallerRequested = (
+  state: State,
+  event: EventOf<'callerRequested'>,
+): Effect[] => {
+  const refusal = findRefusal(state, event);
+  if (refusal) return refuseExchange(state, event.requestId, refusal);
+  countRequest(state, event.at);
+  const exchange = createExchange(event);
+  state.requests.exchanges.set(event.requestId, exchange);
+  return askGrant(state, exchange, event.at);
+};
--- /dev/null
+++ b/src/core/requests/handleCommandRequested.ts
@@ -0,0 +1,45 @@
+import { isAllowed } from '../access/isAllowed.js';
+import type { Principal } from '../access/Principal.js';
+import { resolvePrincipal } from '../access/resolvePrincipal.js';
+import type { Command } from '../commands/Command.js';
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { Refusal } from '../Refusal.js';
+import { refuse } from '../refuse.js';
+import type { State } from '../State.js';
+import { commandRoutes } from './commandRoutes.js';
+import { sendCommand } from './sendCommand.js';
+
+const refuseCommand = (requestId: string, refusal: Refusal): Effect[] => [
+  { type: 'answerCommand', requestId, result: { ok: false, refusal } },
+  { type: 'countRefusal', reason: refusal.reason },
+];
+
+const findRefusal = (
+  state: State,
+  principal: Principal | null,
+  command: Command,
+): Refusal | null => {
+  if (!principal) return refuse('unauthorized');
+  const target = commandRoutes[command.kind].getAccess(command as never);
+  if (isAllowed(state, principal, target)) return null;
+  const unknown =
+    target.kind === 'workspace' && !state.settings.teamByWorkspace.has(target.workspace);
+  return refuse(unknown && principal.kind === 'root' ? 'unknown-workspace' : 'forbidden');
+};
+
+/** Checks what a token may do and passes the command to the daemon that decides it. */
+export const handleCommandRequested = (
+  state: State,
+  event: EventOf<'commandRequested'>,
+): Effect[] => {
+  const { requestId, command } = event;
+  const principal = resolvePrincipal(state, event.tokenHash);
+  const refusal = findRefusal(state, principal, command);
+  if (refusal) return refuseCommand(requestId, refusal);
+  const route = commandRoutes[command.kind];
+  const routed = route.resolveZone(state, command as never);
+  const targets = route.findTargets(state, routed as never, event.at);
+  if (targets.length === 0) return refuseCommand(requestId, refuse('no-lead', 'not-run', 1000));
+  return sendCommand(state, requestId, routed, targets, event.at);
+};
--- /dev/null
+++ b/src/core/requests/handleGrant.ts
@@ -0,0 +1,33 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { askGrant } from './askGrant.js';
+import { findAttempt } from './findAttempt.js';
+
+/** Dispatches a granted request; a grant that nobody waits for, or that is too old, goes back. */
+export const handleGrant = (state: State, event: EventOf<'grant'>): Effect[] => {
+  const { requestId, attemptId } = event;
+  const exchange = findAttempt(state, event);
+  const giveBack: Effect = {
+    type: 'send',
+    to: event.from,
+    message: { type: 'releaseGrant', requestId, attemptId, outcome: 'unused', elapsedMs: 0 },
+  };
+  if (exchange?.phase !== 'waiting') return [giveBack];
+  const ageMs = event.at - exchange.askedAt - event.waitedMs;
+  if (ageMs > event.startWithinMs) {
+    // The worker may have begun to leave since; see docs/design.md, section 5.1.
+    return [
+      giveBack,
+      { type: 'count', name: 'grant_expired' },
+      { type: 'countRetry', reason: 'grant-expired' },
+      ...askGrant(state, exchange, event.at),
+    ];
+  }
+  exchange.phase = 'granted';
+  exchange.scheduler = event.from;
+  exchange.workerId = event.workerId;
+  exchange.dispatchedAt = event.at;
+  exchange.status = null;
+  return [{ type: 'dispatchAttempt', requestId, attemptId, url: event.url }];
+};
--- /dev/null
+++ b/src/core/requests/handleLinkClosed.ts
@@ -0,0 +1,20 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { failCommandsOf } from './failCommandsOf.js';
+
+/** Asks again for requests that waited at a scheduler whose link was lost. O(open requests). */
+export const handleLinkClosed = (state: State, event: EventOf<'linkClosed'>): Effect[] => {
+  if (state.self.role !== 'gateway') return [];
+  const waiting = [...state.requests.exchanges.values()].filter(
+    (exchange) => exchange.phase === 'waiting' && exchange.scheduler === event.node,
+  );
+  waiting.forEach((exchange) => {
+    exchange.phase = 'asking';
+    exchange.scheduler = null;
+  });
+  return [
+    ...waiting.map((): Effect => ({ type: 'countRetry', reason: 'lead-changed' })),
+    ...failCommandsOf(state, event.node),
+  ];
+};
--- /dev/null
+++ b/src/core/requests/handleRefuseGrant.ts
@@ -0,0 +1,26 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { RefusalReason } from '../RefusalReason.js';
+import type { State } from '../State.js';
+import { findAttempt } from './findAttempt.js';
+import { buildAttemptId } from './buildAttemptId.js';
+import { refuseExchange } from './refuseExchange.js';
+
+// These say that another scheduler decides now; the next tick asks it, until the deadline.
+const askAgainReasons: ReadonlySet<RefusalReason> = new Set([
+  'shutting-down',
+  'not-holder',
+  'no-lead',
+]);
+
+/** Passes a scheduler's refusal on, or asks again where another scheduler has taken over. */
+export const handleRefuseGrant = (state: State, event: EventOf<'refuseGrant'>): Effect[] => {
+  const exchange = findAttempt(state, { ...event, attemptId: buildAttemptId(event) });
+  if (exchange?.phase !== 'waiting') return [];
+  if (!askAgainReasons.has(event.refusal.reason)) {
+    return refuseExchange(state, event.requestId, event.refusal);
+  }
+  exchange.phase = 'asking';
+  exchange.scheduler = null;
+  return [{ type: 'countRetry', reason: 'lead-changed' }];
+};
--- /dev/null
+++ b/src/core/requests/refuseExchange.ts
@@ -0,0 +1,19 @@
+import type { Effect } from '../Effect.js';
+import type { Refusal } from '../Refusal.js';
+import type { State } from '../State.js';
+import { isDraining } from './isDraining.js';
+
+/** Answers a caller with a refusal and forgets the exchange. */
+export const refuseExchange = (state: State, requestId: string, refusal: Refusal): Effect[] => {
+  state.requests.exchanges.delete(requestId);
+  return [
+    { type: 'refuseCaller', requestId, refusal, closeConnection: isDraining(state) },
+    { type: 'countRefusal', reason: refusal.reason },
+    {
+      type: 'log',
+      level: 'info',
+      code: 'request_refused',
+      fields: { requestId, reason: refusal.reason, outcome: refusal.outcome },
+    },
+  ];
+};
--- /dev/null
+++ b/src/core/requests/sendCommand.ts
@@ -0,0 +1,29 @@
+import type { Command } from '../commands/Command.js';
+import type { Effect } from '../Effect.js';
+import type { NodeId } from '../NodeId.js';
+import type { State } from '../State.js';
+import { commandRoutes } from './commandRoutes.js';
+
+/** Sends a command to the daemons that decide it and waits for their answers. */
+export const sendCommand = (
+  state: State,
+  requestId: string,
+  command: Command,
+  targets: NodeId[],
+  at: number,
+): Effect[] => {
+  state.requests.commands.set(requestId, {
+    requestId,
+    kind: command.kind,
+    deadlineAt: at + state.timing.commandTimeoutMs,
+    changes: commandRoutes[command.kind].changes,
+    open: new Set(targets),
+    answers: {},
+    asked: targets.length,
+  });
+  return targets.map((to) => ({
+    type: 'send',
+    to,
+    message: { type: 'command', requestId, command },
+  }));
+};
--- a/src/core/routing/GrantMessage.ts
+++ b/src/core/routing/GrantMessage.ts
@@ -5,6 +5,8 @@
   attemptId: string;
   workerId: string;
   url: string;
-  /** The dispatch must begin within this time after the grant arrived, in milliseconds. */
+  /** Time that the request waited at the scheduler, so that the gateway knows the grant's age. */
+  waitedMs: number;
+  /** The dispatch must begin within this time after the grant was given, in milliseconds. */
   startWithinMs: number;
 }
--- a/src/core/routing/ReplicateMessage.ts
+++ b/src/core/routing/ReplicateMessage.ts
@@ -10,4 +10,6 @@
   /** Ids of keys whose attempt was proved not sent. */
   freedKeys: string[];
   jobs: Job[];
+  /** False while more messages of the same full copy follow. */
+  complete: boolean;
 }
--- a/src/core/routing/WorkerLoad.ts
+++ b/src/core/routing/WorkerLoad.ts
@@ -3,6 +3,8 @@
   workerId: string;
   /** Attempt ids of granted and not yet released attempts. */
   grants: Set<string>;
+  /** Attempts that the worker was serving for another scheduler when it was claimed. */
+  inherited: Set<string>;
   completed: number;
   /** Moving average of service time by class, in milliseconds. */
   meanMsByClass: Map<string, number>;
--- /dev/null
+++ b/src/core/routing/assignWaiting.ts
@@ -0,0 +1,63 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import { chooseWorker } from './chooseWorker.js';
+import { enqueueWaiting } from './enqueueWaiting.js';
+import { getWorkerLoad } from './getWorkerLoad.js';
+import { takeNextWaiting } from './takeNextWaiting.js';
+import type { WaitingRequest } from './WaitingRequest.js';
+
+const grantSlot = (
+  state: State,
+  request: WaitingRequest,
+  workerId: string,
+  at: number,
+): Effect[] => {
+  const attemptId = `${request.requestId}.${request.attempt}`;
+  const worker = state.settings.inForce?.tree.zones[state.self.zone]?.workers[workerId];
+  if (!worker) return [];
+  getWorkerLoad(state, workerId).grants.add(attemptId);
+  state.routing.grants.set(attemptId, {
+    attemptId,
+    requestId: request.requestId,
+    gateway: request.gateway,
+    workerId,
+    workspace: request.workspace,
+    requestClass: request.requestClass,
+    grantedAt: at,
+    ...(request.keyId === undefined ? {} : { keyId: request.keyId }),
+    orphanedAt: null,
+  });
+  return [
+    {
+      type: 'send',
+      to: request.gateway,
+      message: {
+        type: 'grant',
+        requestId: request.requestId,
+        attemptId,
+        workerId,
+        url: worker.url,
+        waitedMs: at - request.enqueuedAt,
+        startWithinMs: state.timing.grantStartMs,
+      },
+    },
+  ];
+};
+
+/** Grants free slots to waiting requests until one of both runs out. */
+export const assignWaiting = (state: State, at: number): Effect[] => {
+  if (state.membership.drainingSince !== null) return [];
+  const effects: Effect[] = [];
+  for (let next = takeNextWaiting(state, at); next; next = takeNextWaiting(state, at)) {
+    const workerId = chooseWorker(state, next, at);
+    if (workerId === null) {
+      // Back to the head of its queue; its turn was not used.
+      const queue = state.routing.queues.get(next.workspace);
+      if (queue) queue.unshift(next);
+      else enqueueWaiting(state, next);
+      break;
+    }
+    effects.push(...grantSlot(state, next, workerId, at));
+  }
+  return effects;
+};
--- /dev/null
+++ b/src/core/routing/chooseWorker.ts
@@ -0,0 +1,41 @@
+import { isHeld } from '../ownership/isHeld.js';
+import type { State } from '../State.js';
+import { countFreeSlots } from './countFreeSlots.js';
+import { estimateServiceMs } from './estimateServiceMs.js';
+import { getWorkerLoad } from './getWorkerLoad.js';
+import { isWorkerLeaving } from './isWorkerLeaving.js';
+import type { WaitingRequest } from './WaitingRequest.js';
+
+const suspectAfterFailures = 5;
+
+const isUsable = (state: State, workerId: string, at: number): boolean => {
+  if (!isHeld(state, workerId, at) || isWorkerLeaving(state, workerId)) return false;
+  const load = getWorkerLoad(state, workerId);
+  if (load.consecutiveFailures < suspectAfterFailures) return true;
+  // A suspected worker gets one probe request at a time, after its back-off.
+  return at >= load.suspectUntil && load.grants.size === 0;
+};
+
+/**
+ * Chooses the worker with a free slot and the least expected finish; ties go to the fewest running,
+ * then the fewest completed requests. O(workers of the zone).
+ */
+export const chooseWorker = (state: State, request: WaitingRequest, at: number): string | null => {
+  let best: { workerId: string; score: number[] } | null = null;
+  state.ownership.leases.forEach((_lease, workerId) => {
+    if (!isUsable(state, workerId, at) || countFreeSlots(state, workerId) <= 0) return;
+    const load = getWorkerLoad(state, workerId);
+    const score = [
+      request.avoid.includes(workerId) ? 1 : 0,
+      estimateServiceMs(state, workerId, request.requestClass),
+      load.grants.size,
+      load.completed,
+    ];
+    const current = best;
+    const difference = current
+      ? score.map((value, index) => value - current.score[index]!).find((value) => value !== 0)
+      : -1;
+    if (difference !== undefined && difference < 0) best = { workerId, score };
+  });
+  return (best as { workerId: string } | null)?.workerId ?? null;
+};
--- /dev/null
+++ b/src/core/routing/claimKey.ts
@@ -0,0 +1,48 @@
+import type { Effect } from '../Effect.js';
+import { isLead } from '../ownership/isLead.js';
+import type { Refusal } from '../Refusal.js';
+import { refuse } from '../refuse.js';
+import { sendCopies } from '../replication/sendCopies.js';
+import type { State } from '../State.js';
+import type { KeyRecord } from './KeyRecord.js';
+import { grantKeyWaits } from './grantKeyWaits.js';
+import { refuseWaiting } from './refuseWaiting.js';
+import type { WaitingRequest } from './WaitingRequest.js';
+
+const refusalByKeyState: Record<KeyRecord['state'], Refusal> = {
+  running: refuse('key-in-progress', 'unknown', 1000),
+  finished: refuse('key-already-used', 'unknown'),
+  unknown: refuse('outcome-unknown', 'unknown'),
+};
+
+const findRefusal = (state: State, request: WaitingRequest, keyId: string, at: number) => {
+  if (!isLead(state, at)) return refuse('no-lead', 'not-run', 1000);
+  if (at < state.routing.keyMemoryGapUntil) return refuse('key-memory-lost', 'unknown');
+  const known = state.routing.keys.get(keyId);
+  // The gateway asks again for the same request only when its earlier attempt was not sent.
+  return known && known.requestId !== request.requestId ? refusalByKeyState[known.state] : null;
+};
+
+/**
+ * Claims an idempotency key for a request. The grant waits until the zone's other schedulers have
+ * acknowledged the claim, so that a successor refuses the key.
+ */
+export const claimKey = (
+  state: State,
+  request: WaitingRequest,
+  keyId: string,
+  at: number,
+): Effect[] => {
+  const refusal = findRefusal(state, request, keyId, at);
+  if (refusal) return refuseWaiting(request, refusal);
+  state.routing.keys.set(keyId, {
+    id: keyId,
+    requestId: request.requestId,
+    state: 'running',
+    forgetAt: at + state.timing.keyRetentionMs,
+  });
+  state.replication.changedKeys.add(keyId);
+  const copies = sendCopies(state, at);
+  state.routing.keyWaits.push({ request, sequence: state.replication.sequence });
+  return [...copies, ...grantKeyWaits(state, at)];
+};
--- /dev/null
+++ b/src/core/routing/countFreeSlots.ts
@@ -0,0 +1,10 @@
+import type { State } from '../State.js';
+import { getWorkerLoad } from './getWorkerLoad.js';
+
+/** Counts the slots of a worker that neither a request nor a task uses. */
+export const countFreeSlots = (state: State, workerId: string): number => {
+  const slots = state.settings.inForce?.tree.zones[state.self.zone]?.workers[workerId]?.slots ?? 0;
+  const load = getWorkerLoad(state, workerId);
+  const tasks = state.jobs.acceleratorsByWorker.get(workerId) ?? 0;
+  return slots - tasks - load.grants.size - load.inherited.size;
+};
--- /dev/null
+++ b/src/core/routing/exitWhenDrained.ts
@@ -0,0 +1,23 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+
+// Lets the last replication, release and refusal messages leave before the process ends.
+const lingerMs = 1000;
+
+/** Ends a draining scheduler when no grant of its own is open, or at the shutdown bound. */
+export const exitWhenDrained = (state: State, at: number): Effect[] => {
+  const { membership, routing, timing } = state;
+  const since = membership.drainingSince;
+  if (since === null || membership.exited || at - since < lingerMs) return [];
+  if (routing.grants.size > 0 && at - since < timing.shutdownMs) return [];
+  membership.exited = true;
+  return [
+    {
+      type: 'log',
+      level: 'info',
+      code: 'shutdown_finished',
+      fields: { openGrants: routing.grants.size },
+    },
+    { type: 'exit' },
+  ];
+};
--- /dev/null
+++ b/src/core/routing/expireKeys.ts
@@ -0,0 +1,10 @@
+import type { State } from '../State.js';
+
+/** Forgets idempotency keys after their retention. Keys stand in order of use, oldest first. */
+export const expireKeys = (state: State, at: number): void => {
+  const { keys } = state.routing;
+  for (const [id, key] of keys) {
+    if (key.forgetAt > at) break;
+    keys.delete(id);
+  }
+};
--- /dev/null
+++ b/src/core/routing/freeKey.ts
@@ -0,0 +1,9 @@
+import type { State } from '../State.js';
+
+/** Forgets the key of a request that was proved not run, so that the key may be used again. */
+export const freeKey = (state: State, keyId: string, requestId: string): void => {
+  if (state.routing.keys.get(keyId)?.requestId !== requestId) return;
+  state.routing.keys.delete(keyId);
+  state.replication.changedKeys.delete(keyId);
+  state.replication.freedKeys.add(keyId);
+};
--- /dev/null
+++ b/src/core/routing/getWorkerLoad.ts
@@ -0,0 +1,23 @@
+import type { State } from '../State.js';
+import type { WorkerLoad } from './WorkerLoad.js';
+
+const createLoad = (workerId: string): WorkerLoad => ({
+  workerId,
+  grants: new Set(),
+  inherited: new Set(),
+  completed: 0,
+  meanMsByClass: new Map(),
+  meanMs: null,
+  consecutiveFailures: 0,
+  suspectUntil: 0,
+  backoffMs: 0,
+});
+
+/** Returns what is known of a worker's load; creates the entry at the first call. */
+export const getWorkerLoad = (state: State, workerId: string): WorkerLoad => {
+  const known = state.routing.loads.get(workerId);
+  if (known) return known;
+  const load = createLoad(workerId);
+  state.routing.loads.set(workerId, load);
+  return load;
+};
--- /dev/null
+++ b/src/core/routing/handleLinkOpened.ts
@@ -0,0 +1,11 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+
+/** Keeps the slots of a gateway that came back in time. */
+export const handleLinkOpened = (state: State, event: EventOf<'linkOpened'>): Effect[] => {
+  state.routing.grants.forEach((grant) => {
+    if (grant.gateway === event.node) grant.orphanedAt = null;
+  });
+  return [];
+};
--- /dev/null
+++ b/src/core/routing/handleWorkerRenewed.ts
@@ -0,0 +1,13 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { getWorkerLoad } from './getWorkerLoad.js';
+
+/** Drops inherited requests that the worker has finished; never adds any, as reports lag. */
+export const handleWorkerRenewed = (state: State, event: EventOf<'workerRenewed'>): Effect[] => {
+  const load = getWorkerLoad(state, event.workerId);
+  if (load.inherited.size === 0) return [];
+  const active = new Set(event.report.activeRequests);
+  load.inherited = new Set([...load.inherited].filter((attemptId) => active.has(attemptId)));
+  return [];
+};
--- /dev/null
+++ b/src/core/routing/learnServiceTime.ts
@@ -0,0 +1,19 @@
+import type { State } from '../State.js';
+import { getWorkerLoad } from './getWorkerLoad.js';
+import type { Grant } from './Grant.js';
+
+const newestShare = 0.2;
+
+const blend = (old: number | null | undefined, value: number): number =>
+  old === null || old === undefined ? value : old + newestShare * (value - old);
+
+/** Updates the moving averages of service time with one answered attempt. */
+export const learnServiceTime = (state: State, grant: Grant, elapsedMs: number): void => {
+  const load = getWorkerLoad(state, grant.workerId);
+  const { requestClass } = grant;
+  load.completed += 1;
+  load.meanMs = blend(load.meanMs, elapsedMs);
+  load.meanMsByClass.set(requestClass, blend(load.meanMsByClass.get(requestClass), elapsedMs));
+  const { classMeanMs } = state.routing;
+  classMeanMs.set(requestClass, blend(classMeanMs.get(requestClass), elapsedMs));
+};
--- /dev/null
+++ b/src/core/routing/noteAttemptFailure.ts
@@ -0,0 +1,26 @@
+import type { State } from '../State.js';
+import { getWorkerLoad } from './getWorkerLoad.js';
+import type { Grant } from './Grant.js';
+
+const badClassWorkers = 3;
+const firstBackoffMs = 1000;
+const maxBackoffMs = 30_000;
+
+/**
+ * Counts a failed attempt against its worker, unless the request's class fails on several workers
+ * and so is the more likely cause.
+ */
+export const noteAttemptFailure = (state: State, grant: Grant, at: number): void => {
+  const { failedWorkersByClass } = state.routing;
+  const workers = failedWorkersByClass.get(grant.requestClass) ?? new Set<string>();
+  workers.add(grant.workerId);
+  failedWorkersByClass.set(grant.requestClass, workers);
+  if (workers.size >= badClassWorkers) return;
+  const load = getWorkerLoad(state, grant.workerId);
+  load.consecutiveFailures += 1;
+  load.backoffMs = Math.min(
+    maxBackoffMs,
+    load.backoffMs === 0 ? firstBackoffMs : load.backoffMs * 2,
+  );
+  load.suspectUntil = at + load.backoffMs;
+};
--- /dev/null
+++ b/src/core/routing/noteAttemptSuccess.ts
@@ -0,0 +1,12 @@
+import type { State } from '../State.js';
+import { getWorkerLoad } from './getWorkerLoad.js';
+import type { Grant } from './Grant.js';
+
+/** Clears the suspicion of a worker and of a request class after an answer. */
+export const noteAttemptSuccess = (state: State, grant: Grant): void => {
+  const load = getWorkerLoad(state, grant.workerId);
+  load.consecutiveFailures = 0;
+  load.backoffMs = 0;
+  load.suspectUntil = 0;
+  state.routing.failedWorkersByClass.delete(grant.requestClass);
+};
