Load and check the daemons' configuration file

Cause: a daemon learns its addresses, zone, peers and durations from a file; a mistake in it must be found at the start and not at the first failure. Ruled out: coercion of texts such as "5s" (two spellings of one value), and host names (a daemon must find its peers without DNS). Secrets are not printed. Conclusion: the same schema documents the fields and checks them.

--- /dev/null
+++ b/src/adapters/config/timingSchema.ts
@@ -0,0 +1,57 @@
+import { z } from 'zod';
+import { defaultTiming } from '../../core/defaultTiming.js';
+import type { Timing } from '../../core/Timing.js';
+import { durationSchema } from './durationSchema.js';
+
+const descriptions: Readonly<Record<keyof Timing, string>> = {
+  holderLeaseMs: 'time a scheduler may act on a worker after it sent an acknowledged renewal',
+  claimMarginMs: 'extra silence before another scheduler claims a worker',
+  rankDelayMs: 'extra delay of a claim per rank of the scheduler in its zone',
+  renewEveryMs: 'interval of worker lease renewals and probes',
+  workerCallTimeoutMs: 'time allowed for a control call to a worker',
+  taskLeaseMs: 'time after its last renewal at which a task stops by itself',
+  gangSilenceMs: 'silence of one worker after which its gangs are stopped',
+  gangStartMs: 'time allowed for all parts of a gang to answer a start',
+  checkpointMs: 'time allowed for a checkpoint before a reclaimed task is stopped',
+  heartbeatEveryMs: 'interval of heartbeats inside the zone',
+  remoteHeartbeatEveryMs: 'interval of heartbeats to other zones',
+  peerSilenceMs: 'silence after which a peer counts as dead',
+  grantStartMs: 'time within which a gateway may use a grant',
+  keyRetentionMs: 'time for which an idempotency key is remembered',
+  aloneAfterMs: 'time after which a lead no longer waits for an unreachable peer of its zone',
+  balancerDrainMs: 'time for which a stopping gateway still serves new requests',
+  shutdownMs: 'time allowed for open requests to finish at shutdown',
+  retryWindowMs: 'window over which the retry budget is counted',
+  commandTimeoutMs: 'time allowed for the answer to an operator command',
+  usageBatchMs: 'longest wait of a usage record before its batch is appended',
+};
+
+type DurationField = z.ZodDefault<typeof durationSchema>;
+
+const shape = Object.fromEntries(
+  Object.entries(descriptions).map(([name, text]) => [
+    name,
+    durationSchema.default(defaultTiming[name as keyof Timing]).describe(`Milliseconds; ${text}.`),
+  ]),
+) as Record<keyof Timing, DurationField>;
+
+/** Durations that may be overridden; must be the same on every VM. */
+export const timingSchema = z.strictObject(shape).superRefine((timing, context) => {
+  // Each pair is [shorter, longer]; equality would let the longer one expire between two signs of life.
+  const pairs: [keyof Timing, keyof Timing][] = [
+    ['renewEveryMs', 'holderLeaseMs'],
+    ['renewEveryMs', 'gangSilenceMs'],
+    ['gangSilenceMs', 'taskLeaseMs'],
+    ['heartbeatEveryMs', 'peerSilenceMs'],
+    ['remoteHeartbeatEveryMs', 'peerSilenceMs'],
+  ];
+  pairs
+    .filter(([shorter, longer]) => timing[shorter] >= timing[longer])
+    .forEach(([shorter, longer]) =>
+      context.addIssue({
+        code: 'custom',
+        path: [shorter],
+        message: `expected less than ${longer} (${timing[longer]})`,
+      }),
+    );
+});
--- /dev/null
+++ b/src/adapters/config/translateIssues.ts
@@ -0,0 +1,53 @@
+import type { z } from 'zod';
+import type { ConfigIssue } from './ConfigIssue.js';
+import { formatFieldPath } from './formatFieldPath.js';
+import { listConfigFields } from './listConfigFields.js';
+import { listConfigKeys } from './listConfigKeys.js';
+
+type Issue = z.core.$ZodIssue;
+
+const hidden = new Set(['meshSecret', 'rootTokenHash']);
+
+const findValue = (input: unknown, path: readonly PropertyKey[]): unknown =>
+  path.reduce<unknown>(
+    (value, key) => (value as Record<PropertyKey, unknown> | null | undefined)?.[key],
+    input,
+  );
+
+const formatValue = (value: unknown, path: readonly PropertyKey[]): string => {
+  if (value === undefined) return '(not set)';
+  if (hidden.has(String(path.at(-1)))) return '(hidden)';
+  // A large integer is read as a bigint, which JSON cannot hold.
+  return typeof value === 'bigint' ? String(value) : JSON.stringify(value);
+};
+
+const describeKey = (known: readonly string[]): string =>
+  `unknown key; expected one of ${known.join(', ')}`;
+
+const describeField = (path: readonly PropertyKey[]): string => {
+  const fieldPath = formatFieldPath(path);
+  const field = listConfigFields().find((each) => each.path === fieldPath);
+  return field ? `expected: ${field.description}` : 'expected a table of fields';
+};
+
+const translateIssue = (issue: Issue, input: unknown): ConfigIssue[] => {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => {
+      const path = [...issue.path, key];
+      return {
+        path: path.join('.'),
+        value: formatValue(findValue(input, path), path),
+        expected: describeKey(listConfigKeys(issue.path)),
+      };
+    });
+  }
+  const value = formatValue(findValue(input, issue.path), issue.path);
+  const expected = issue.message.startsWith('Invalid input')
+    ? describeField(issue.path)
+    : issue.message;
+  return [{ path: issue.path.join('.'), value, expected }];
+};
+
+/** Translates the issues of zod into fields with value and what would be right. */
+export const translateIssues = (issues: readonly Issue[], input: unknown): ConfigIssue[] =>
+  issues.flatMap((issue) => translateIssue(issue, input));
--- /dev/null
+++ b/src/adapters/config/vmSchema.ts
@@ -0,0 +1,14 @@
+import { z } from 'zod';
+import { ipAddressSchema } from './ipAddressSchema.js';
+import { nameSchema } from './nameSchema.js';
+import { portSchema } from './portSchema.js';
+
+/** One entry VM of the mesh. */
+export const vmSchema = z.strictObject({
+  id: nameSchema.describe('Name; id of the VM, the same as its own `vmId`.'),
+  zone: nameSchema.describe('Name; availability zone of the VM.'),
+  host: ipAddressSchema.describe('IP number at which the daemons of the VM are reached.'),
+  gatewayPort: portSchema.describe('Port; mesh port of the gateway.'),
+  schedulerPort: portSchema.describe('Port; mesh port of the scheduler.'),
+  recorderPort: portSchema.describe('Port; mesh port of the recorder.'),
+});
