--- /dev/null
+++ b/src/adapters/logger/formatLogLine.ts
@@ -0,0 +1,26 @@
+import type { Self } from '../../core/Self.js';
+import type { LogLevel } from './LogLevel.js';
+
+/** Values that JSON would drop or reject are written as text. */
+const toJsonValue = (_key: string, value: unknown): unknown => {
+  if (value instanceof Error) return `${value.name}: ${value.message}`;
+  return typeof value === 'bigint' ? String(value) : value;
+};
+
+/** Formats one log line; a field cannot replace the keys that identify the line. */
+export const formatLogLine = (
+  self: Self,
+  line: { time: Date; level: LogLevel; code: string; fields: Record<string, unknown> },
+): string => {
+  const { requestId, ...fields } = line.fields;
+  const head = {
+    time: line.time.toISOString(),
+    level: line.level,
+    code: line.code,
+    vmId: self.vmId,
+    zone: self.zone,
+    role: self.role,
+    ...(requestId === undefined ? {} : { requestId }),
+  };
+  return JSON.stringify({ ...head, ...fields, ...head }, toJsonValue);
+};
