--- a/src/adapters/config/timingSchema.ts
+++ b/src/adapters/config/timingSchema.ts
@@ -23,6 +23,7 @@
   shutdownMs: 'time allowed for open requests to finish at shutdown',
   retryWindowMs: 'window over which the retry budget is counted',
   commandTimeoutMs: 'time allowed for the answer to an operator command',
+  usageCountMs: 'length of the intervals in which short requests are counted',
   usageBatchMs: 'longest wait of a usage record before its batch is appended',
 };
 
--- /dev/null
+++ b/src/adapters/mesh/MeshOptions.ts
@@ -0,0 +1,17 @@
+import type { CounterName } from '../../core/CounterName.js';
+import type { Self } from '../../core/Self.js';
+import type { UntimedEvent } from '../../core/UntimedEvent.js';
+import type { Logger } from '../logger/Logger.js';
+import type { MeshPeer } from './MeshPeer.js';
+
+/** What the mesh of one daemon needs. */
+export interface MeshOptions {
+  self: Self;
+  secret: string;
+  listen: { host: string; port: number };
+  /** Every daemon that may connect or be connected to. */
+  peers: MeshPeer[];
+  push: (event: UntimedEvent) => void;
+  count: (name: CounterName) => void;
+  logger: Pick<Logger, 'write'>;
+}
--- /dev/null
+++ b/src/adapters/worker/createWorkerRunners.ts
@@ -0,0 +1,61 @@
+import { Agent } from 'undici';
+import type { Effect } from '../../core/Effect.js';
+import type { WorkerCall } from '../../core/ownership/WorkerCall.js';
+import type { WorkerReport } from '../../core/ownership/WorkerReport.js';
+import type { UntimedEvent } from '../../core/UntimedEvent.js';
+import type { EffectRunners } from '../EffectRunners.js';
+import { buildWorkerHttpCall } from './buildWorkerHttpCall.js';
+import { callWorkerHttp } from './callWorkerHttp.js';
+import { taskAnswerSchema } from './taskAnswerSchema.js';
+import { workerReportSchema } from './workerReportSchema.js';
+
+type CallEffect<C> = Omit<Extract<Effect, { type: 'callWorker' }>, 'call'> & { call: C };
+type LeaseCall = Extract<WorkerCall, { kind: 'lease' }>;
+type TaskCall = Exclude<WorkerCall, { kind: 'lease' }>;
+
+// Control calls have connections of their own, so that requests cannot delay a renewal.
+const createAgent = (): Agent => new Agent({ connections: 4, pipelining: 1 });
+
+/** Runs control calls to workers; each ends in one event. */
+export const createWorkerRunners = (
+  timeoutMs: number,
+  push: (event: UntimedEvent) => void,
+): Required<Pick<EffectRunners, 'callWorker'>> => {
+  const agent = createAgent();
+  const callLease = ({ workerId, url, call }: CallEffect<LeaseCall>): void => {
+    const { purpose, sentAt } = call;
+    callWorkerHttp(agent, url, buildWorkerHttpCall(call), workerReportSchema, timeoutMs).match(
+      (report) =>
+        push({
+          type: 'leaseAnswered',
+          workerId,
+          purpose,
+          sentAt,
+          report: report as WorkerReport,
+        }),
+      ({ message }) => push({ type: 'leaseFailed', workerId, purpose, sentAt, error: message }),
+    );
+  };
+  const callTask = ({ workerId, url, call }: CallEffect<TaskCall>): void => {
+    const { kind, taskId } = call;
+    callWorkerHttp(agent, url, buildWorkerHttpCall(call), taskAnswerSchema, timeoutMs).match(
+      ({ accepted, checkpoint }) =>
+        push({
+          type: 'taskAnswered',
+          workerId,
+          taskId,
+          call: kind,
+          accepted,
+          ...(checkpoint === undefined ? {} : { checkpoint }),
+        }),
+      ({ message }) =>
+        push({ type: 'taskCallFailed', workerId, taskId, call: kind, error: message }),
+    );
+  };
+  return {
+    callWorker: ({ call, ...target }) => {
+      if (call.kind === 'lease') callLease({ ...target, call });
+      else callTask({ ...target, call });
+    },
+  };
+};
--- a/src/core/ownership/OwnershipEvent.ts
+++ b/src/core/ownership/OwnershipEvent.ts
@@ -7,7 +7,7 @@
       type: 'leaseAnswered';
       workerId: string;
       purpose: LeasePurpose;
-      /** Monotonic time at which the call was sent. */
+      /** Monotonic time at which the call was decided, never later than it was sent. */
       sentAt: number;
       report: WorkerReport;
     }
--- a/src/core/ownership/WorkerCall.ts
+++ b/src/core/ownership/WorkerCall.ts
@@ -5,6 +5,8 @@
   | {
       kind: 'lease';
       purpose: LeasePurpose;
+      /** Monotonic time of the decision; echoed in the answer event. */
+      sentAt: number;
       holder: string;
       leaseMs: number;
       taskLeaseMs: number;
--- a/src/core/ownership/callLease.ts
+++ b/src/core/ownership/callLease.ts
@@ -24,6 +24,7 @@
       call: {
         kind: 'lease',
         purpose,
+        sentAt: at,
         holder: getHolderName(state.self),
         leaseMs: state.timing.holderLeaseMs,
         taskLeaseMs: state.timing.taskLeaseMs,
--- a/src/core/routing/AttemptOutcome.ts
+++ b/src/core/routing/AttemptOutcome.ts
@@ -3,9 +3,4 @@
  * the caller left, so the outcome is unknown through no fault of the worker.
  */
 export type AttemptOutcome =
-  | 'answered'
-  | 'failed'
-  | 'not-sent'
-  | 'unknown'
-  | 'unused'
-  | 'abandoned';
+  'answered' | 'failed' | 'not-sent' | 'unknown' | 'unused' | 'abandoned';
