Add settings, access and the log adapter

Cause: operators need changes that are accepted once, in one order, on every VM, and a team's token must reach only what belongs to the team. Ruled out: repeating an append whose answer was lost, because the tail finds the record by its proposal id; a fold that trusts its own place in the stream after records have expired, because it would skip proposals; a tree record without its verdicts, because a reader that restarts from it would accept a repeated proposal that the others drop. Change: schemas with defaults and readable errors; acceptRecord as a pure fold; the recorder's tail, proposals, read-back and re-append of the tree at a third of the retention; access checks; appendLog and readLog over HTTP. Log records carry the log's wall time, which decides when the tree is due again.

--- a/src/core/Timing.ts
+++ b/src/core/Timing.ts
@@ -29,4 +29,10 @@
   retryWindowMs: number;
   commandTimeoutMs: number;
   usageBatchMs: number;
+  /** Records not reported stored, or not acknowledged by the replica, are sent again after this. */
+  usageResendMs: number;
+  /** Pause before a failed read or append of the log is repeated; doubles up to ten times this. */
+  logRetryMs: number;
+  /** How long the log keeps records; the settings tree is appended again at a third of it. */
+  logRetentionMs: number;
 }
--- /dev/null
+++ b/src/core/access/AccessTarget.ts
@@ -0,0 +1,8 @@
+import type { SubtreePath } from '../settings/SubtreePath.js';
+
+/** What a caller or operator wants to reach. */
+export type AccessTarget =
+  | { kind: 'workspace'; workspace: string }
+  | { kind: 'subtree'; path: SubtreePath }
+  /** Whatever belongs to no single team: the status, the whole tree, all proposals. */
+  | { kind: 'office' };
--- /dev/null
+++ b/src/core/access/isAllowed.ts
@@ -0,0 +1,29 @@
+import type { State } from '../State.js';
+import type { AccessTarget } from './AccessTarget.js';
+import type { Principal } from './Principal.js';
+
+type Checks = {
+  readonly [K in AccessTarget['kind']]: (
+    state: State,
+    team: string,
+    target: Extract<AccessTarget, { kind: K }>,
+  ) => boolean;
+};
+
+const checks: Checks = {
+  workspace: (state, team, { workspace }) => state.settings.teamByWorkspace.get(workspace) === team,
+  subtree: (_state, team, { path }) => path === `teams/${team}`,
+  office: () => false,
+};
+
+/** Tells whether a principal may reach a target; a team reaches only what belongs to it. */
+export const isAllowed = (
+  state: State,
+  principal: Principal | null,
+  target: AccessTarget,
+): boolean => {
+  if (principal === null) return false;
+  if (principal.kind === 'root') return true;
+  const check = checks[target.kind] as (of: State, team: string, to: AccessTarget) => boolean;
+  return check(state, principal.team, target);
+};
--- /dev/null
+++ b/src/core/access/resolvePrincipal.ts
@@ -0,0 +1,9 @@
+import type { State } from '../State.js';
+import type { Principal } from './Principal.js';
+
+/** Finds whom a token stands for by its SHA-256 hash in hexadecimal; null if nobody. */
+export const resolvePrincipal = (state: State, tokenHash: string): Principal | null => {
+  if (tokenHash === state.access.rootTokenHash) return { kind: 'root' };
+  const team = state.settings.teamByTokenHash.get(tokenHash);
+  return team === undefined ? null : { kind: 'team', team };
+};
--- a/src/core/defaultTiming.ts
+++ b/src/core/defaultTiming.ts
@@ -22,4 +22,7 @@
   retryWindowMs: 10_000,
   commandTimeoutMs: 10_000,
   usageBatchMs: 500,
+  usageResendMs: 2000,
+  logRetryMs: 500,
+  logRetentionMs: 86_400_000,
 };
--- a/src/core/settings/SettingsState.ts
+++ b/src/core/settings/SettingsState.ts
@@ -1,9 +1,24 @@
+import type { PendingProposal } from './PendingProposal.js';
+import type { SettingsFold } from './SettingsFold.js';
 import type { SettingsSnapshot } from './SettingsSnapshot.js';
+import type { SettingsTail } from './SettingsTail.js';
 
-/** Settings of a daemon; the fields besides `inForce` are used by recorders only. */
+/** Settings of a daemon; the fields after `teamByTokenHash` are used by recorders only. */
 export interface SettingsState {
   /** Newest tree applied in this process; null until one is known. */
   inForce: SettingsSnapshot | null;
   /** Team of each workspace, rebuilt when the tree changes. */
   teamByWorkspace: Map<string, string>;
+  /** Team of each token hash, rebuilt when the tree changes. */
+  teamByTokenHash: Map<string, string>;
+  fold: SettingsFold;
+  tail: SettingsTail;
+  /** Proposals that wait for their verdict, by proposal id. */
+  pending: Map<string, PendingProposal>;
+  nextAppend: number;
+  /** Epoch milliseconds of the newest tree record, or of the oldest record without one. */
+  treeWall: number | null;
+  /** Id of the tree append in flight, or null. */
+  treeAppendId: string | null;
+  nextTreeAt: number;
 }
--- /dev/null
+++ b/src/core/settings/acceptRecord.ts
@@ -0,0 +1,63 @@
+import type { LogRecord } from '../log/LogRecord.js';
+import { checkProposal } from './checkProposal.js';
+import type { SettingsFold } from './SettingsFold.js';
+import type { SettingsRecord } from './SettingsRecord.js';
+import { settingsRecordSchema } from './settingsRecordSchema.js';
+import { translateSettingsError } from './translateSettingsError.js';
+
+/**
+ * Verdicts kept for recognising repeated proposals. An append is repeated within seconds, and at
+ * 7,100 changes a day 200 verdicts cover about 40 minutes.
+ */
+const maxVerdicts = 200;
+
+const acceptProposal = (
+  fold: SettingsFold,
+  record: LogRecord,
+  proposal: Extract<SettingsRecord, { kind: 'proposal' }>,
+): SettingsFold => {
+  const { offset, wall } = record;
+  const { proposalId, path, author } = proposal;
+  if (fold.verdicts.some((verdict) => verdict.proposalId === proposalId)) {
+    return { ...fold, offset };
+  }
+  const checked = checkProposal(fold.snapshot, proposal);
+  const refusal = checked.isErr() ? translateSettingsError(checked.error) : null;
+  const snapshot = checked.isErr()
+    ? fold.snapshot
+    : {
+        version: offset,
+        subtreeVersions: { ...fold.snapshot.subtreeVersions, [path]: offset },
+        tree: checked.value,
+      };
+  const verdict = { proposalId, path, author, offset, wall, refusal };
+  return { offset, snapshot, verdicts: [...fold.verdicts, verdict].slice(-maxVerdicts) };
+};
+
+const acceptTree = (
+  fold: SettingsFold,
+  record: LogRecord,
+  tree: Extract<SettingsRecord, { kind: 'tree' }>,
+): SettingsFold => {
+  const newer =
+    tree.offset > fold.offset &&
+    tree.offset < record.offset &&
+    tree.snapshot.version >= fold.snapshot.version;
+  if (!newer) return { ...fold, offset: record.offset };
+  const { offset, snapshot, verdicts } = tree;
+  return { offset, snapshot, verdicts };
+};
+
+/**
+ * Folds one record of the `settings` stream. The version of an accepted subtree is its offset. A
+ * tree record replaces the fold only if it includes records that the reader has missed; the reader
+ * then continues after the fold's offset. A record that cannot be read changes nothing.
+ */
+export const acceptRecord = (fold: SettingsFold, record: LogRecord): SettingsFold => {
+  if (record.offset <= fold.offset) return fold;
+  const parsed = settingsRecordSchema.safeParse(record.data);
+  if (!parsed.success) return { ...fold, offset: record.offset };
+  return parsed.data.kind === 'tree'
+    ? acceptTree(fold, record, parsed.data)
+    : acceptProposal(fold, record, parsed.data);
+};
--- /dev/null
+++ b/src/core/settings/appendProposal.ts
@@ -0,0 +1,28 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import type { PendingProposal } from './PendingProposal.js';
+
+/** A proposal whose verdict is missing is remembered for this many command timeouts. */
+const forgetAfterTimeouts = 10;
+
+/** Appends a proposal; the verdict follows when the tail reads it back. */
+export const appendProposal = (
+  state: State,
+  proposalId: string,
+  record: unknown,
+  waiter: PendingProposal['waiters'][number],
+): Effect[] => {
+  const { settings, timing, self } = state;
+  const known = settings.pending.get(proposalId);
+  const appendId = `settings/${self.incarnation}/${settings.nextAppend}/proposal`;
+  settings.nextAppend += 1;
+  settings.pending.set(proposalId, {
+    proposalId,
+    appendId,
+    waiters: [waiter],
+    appended: false,
+    uncertain: known?.uncertain ?? false,
+    forgetAt: waiter.deadlineAt + forgetAfterTimeouts * timing.commandTimeoutMs,
+  });
+  return [{ type: 'appendLog', appendId, stream: 'settings', records: [record] }];
+};
--- /dev/null
+++ b/src/core/settings/findConflict.ts
@@ -0,0 +1,41 @@
+import type { SettingsError } from './SettingsError.js';
+import type { SettingsTree } from './SettingsTree.js';
+
+interface Claim {
+  name: string;
+  path: string;
+}
+
+const findRepeated = (claims: Claim[], expected: string): SettingsError | null => {
+  const owners = new Set<string>();
+  for (const { name, path } of claims) {
+    if (owners.has(name)) return { kind: 'invalidSettings', path, value: name, expected };
+    owners.add(name);
+  }
+  return null;
+};
+
+/**
+ * Finds a name that two subtrees claim: a worker in two zones, a workspace of two teams, or a
+ * token of two teams. A repeated token would let one team take over the callers of another.
+ */
+export const findConflict = (tree: SettingsTree): SettingsError | null => {
+  const workers = Object.entries(tree.zones).flatMap(([zone, { workers: registered }]) =>
+    Object.keys(registered).map((name) => ({ name, path: `zones/${zone}/workers/${name}` })),
+  );
+  const teams = Object.entries(tree.teams);
+  const workspaces = teams.flatMap(([team, settings]) =>
+    Object.keys(settings.workspaces).map((name) => ({
+      name,
+      path: `teams/${team}/workspaces/${name}`,
+    })),
+  );
+  const tokens = teams.flatMap(([team, { tokenHashes }]) =>
+    tokenHashes.map((name, index) => ({ name, path: `teams/${team}/tokenHashes/${index}` })),
+  );
+  return (
+    findRepeated(workers, 'expected a worker name that no other zone uses') ??
+    findRepeated(workspaces, 'expected a workspace name that no other team uses') ??
+    findRepeated(tokens, 'expected a token that is listed once')
+  );
+};
--- /dev/null
+++ b/src/core/settings/findEarlyRefusal.ts
@@ -0,0 +1,26 @@
+import type { Refusal } from '../Refusal.js';
+import { mergeSubtree } from './mergeSubtree.js';
+import type { SettingsFold } from './SettingsFold.js';
+import { settingsRecordSchema } from './settingsRecordSchema.js';
+import { translateSettingsError } from './translateSettingsError.js';
+
+/**
+ * Finds a reason that refuses a proposal wherever it lands in the log: a record that cannot be
+ * read, a subtree against the schema, or a version already passed. Everything else is left to the
+ * fold, because this recorder may lag.
+ */
+export const findEarlyRefusal = (fold: SettingsFold, record: unknown): Refusal | null => {
+  const parsed = settingsRecordSchema.safeParse(record);
+  if (!parsed.success || parsed.data.kind !== 'proposal') {
+    const issue = parsed.error?.issues[0];
+    const detail = `${issue?.path.join('/') ?? 'kind'}: ${issue?.message ?? 'not a proposal'}`;
+    return { reason: 'invalid-settings', outcome: 'not-run', detail };
+  }
+  const { path, expectedVersion, subtree } = parsed.data;
+  const merged = mergeSubtree(fold.snapshot.tree, path, subtree);
+  if (merged.isErr()) return translateSettingsError(merged.error);
+  const currentVersion = fold.snapshot.subtreeVersions[path] ?? -1;
+  return expectedVersion < currentVersion
+    ? translateSettingsError({ kind: 'staleVersion', expectedVersion, currentVersion })
+    : null;
+};
--- /dev/null
+++ b/src/core/settings/handleListProposals.ts
@@ -0,0 +1,13 @@
+import { answerCommand } from '../commands/answerCommand.js';
+import type { CommandHandler } from '../commands/CommandHandler.js';
+
+/** Answers with the newest verdicts, of one subtree if a path is given, oldest first. */
+export const handleListProposals: CommandHandler<'listProposals'> = (
+  state,
+  { from, requestId, command },
+) => {
+  const data = state.settings.fold.verdicts.filter(
+    ({ path }) => command.path === undefined || path === command.path,
+  );
+  return [answerCommand(from, requestId, { ok: true, data })];
+};
--- /dev/null
+++ b/src/core/settings/handleProposeSettings.ts
@@ -0,0 +1,44 @@
+import { answerCommand } from '../commands/answerCommand.js';
+import type { CommandHandler } from '../commands/CommandHandler.js';
+import type { Command } from '../commands/Command.js';
+import { answerVerdict } from './answerVerdict.js';
+import { appendProposal } from './appendProposal.js';
+import { findEarlyRefusal } from './findEarlyRefusal.js';
+
+/** The recorder answers before the gateway's own command timeout, so that its reason is seen. */
+const shareOfTimeout = 0.8;
+
+const makeRecord = (command: Extract<Command, { kind: 'proposeSettings' }>): unknown => ({
+  ...command,
+  kind: 'proposal',
+});
+
+/**
+ * Takes a proposal. A repeated command with the same proposal id gets the known verdict, or waits
+ * for the append that is under way.
+ */
+export const handleProposeSettings: CommandHandler<'proposeSettings'> = (
+  state,
+  { from, requestId, at, command },
+) => {
+  const { fold, pending } = state.settings;
+  const { proposalId } = command;
+  const verdict = fold.verdicts.find((known) => known.proposalId === proposalId);
+  if (verdict) return [answerCommand(from, requestId, answerVerdict(verdict))];
+  const deadlineAt = at + state.timing.commandTimeoutMs * shareOfTimeout;
+  const waiter = { from, requestId, deadlineAt };
+  const proposal = pending.get(proposalId);
+  if (proposal && (proposal.appended || proposal.waiters.length > 0)) {
+    proposal.waiters.push(waiter);
+    return [];
+  }
+  const record = makeRecord(command);
+  const refusal = proposal ? null : findEarlyRefusal(fold, record);
+  if (refusal) {
+    return [
+      answerCommand(from, requestId, { ok: false, refusal }),
+      { type: 'countRefusal', reason: refusal.reason },
+    ];
+  }
+  return appendProposal(state, proposalId, record, waiter);
+};
--- /dev/null
+++ b/src/core/settings/handleShowSettings.ts
@@ -0,0 +1,14 @@
+import { answerCommand } from '../commands/answerCommand.js';
+import type { CommandHandler } from '../commands/CommandHandler.js';
+
+/** Answers with the tree in force and its versions. */
+export const handleShowSettings: CommandHandler<'showSettings'> = (state, { from, requestId }) => {
+  const data = state.settings.inForce;
+  const refusal = { reason: 'no-settings', outcome: 'not-run' } as const;
+  return data === null
+    ? [
+        answerCommand(from, requestId, { ok: false, refusal }),
+        { type: 'countRefusal', reason: refusal.reason },
+      ]
+    : [answerCommand(from, requestId, { ok: true, data })];
+};
--- /dev/null
+++ b/src/core/settings/pollPeers.ts
@@ -0,0 +1,19 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+
+/** Peers asked at once; the next call asks the following ones. */
+const peersPerQuery = 3;
+
+/** Asks some of the linked recorders for a newer tree, others at every call. */
+export const pollPeers = (state: State): Effect[] => {
+  const { inForce, tail } = state.settings;
+  const nodes = [...state.membership.peers.values()]
+    .filter(({ node, linked }) => linked && node.endsWith('/recorder'))
+    .map(({ node }) => node)
+    .sort();
+  const start = nodes.length === 0 ? 0 : (tail.nextRead * peersPerQuery) % nodes.length;
+  const message = { type: 'settingsQuery', version: inForce?.version ?? -1 } as const;
+  return [...nodes.slice(start), ...nodes.slice(0, start)]
+    .slice(0, peersPerQuery)
+    .map((to) => ({ type: 'send', to, message }));
+};
--- /dev/null
+++ b/src/core/settings/readTail.ts
@@ -0,0 +1,27 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+
+const pageLimit = 100;
+const longPollMs = 1000;
+/** A read without an answer for this long is given up; the adapter's own timeout is shorter. */
+const lostReadMs = 15_000;
+
+/** Starts the next read of the `settings` stream unless one is in flight or a pause is due. */
+export const readTail = (state: State, at: number): Effect[] => {
+  const { tail } = state.settings;
+  if (tail.readId !== null && at - tail.sentAt < lostReadMs) return [];
+  if (at < tail.nextReadAt) return [];
+  tail.readId = `settings/${state.self.incarnation}/${tail.nextRead}`;
+  tail.nextRead += 1;
+  tail.sentAt = at;
+  return [
+    {
+      type: 'readLog',
+      readId: tail.readId,
+      stream: 'settings',
+      fromOffset: tail.from,
+      limit: pageLimit,
+      waitMs: longPollMs,
+    },
+  ];
+};
--- /dev/null
+++ b/src/core/settings/settingsSnapshotSchema.ts
@@ -0,0 +1,10 @@
+import { z } from 'zod';
+import { settingsTreeSchema } from './settingsTreeSchema.js';
+import { subtreePathSchema } from './subtreePathSchema.js';
+
+/** Schema of a tree with its versions, as daemons and the log carry it. */
+export const settingsSnapshotSchema = z.object({
+  version: z.int().min(-1),
+  subtreeVersions: z.partialRecord(subtreePathSchema, z.int().min(-1)),
+  tree: settingsTreeSchema,
+});
--- /dev/null
+++ b/src/core/settings/settingsTreeSchema.ts
@@ -0,0 +1,10 @@
+import { z } from 'zod';
+import { nameSchema } from './nameSchema.js';
+import { teamSettingsSchema } from './teamSettingsSchema.js';
+import { zonesSchema } from './zonesSchema.js';
+
+/** Schema of the whole tree; `findConflict` checks the rules between subtrees. */
+export const settingsTreeSchema = z.looseObject({
+  zones: zonesSchema.default({}),
+  teams: z.record(nameSchema, teamSettingsSchema).default({}),
+});
--- /dev/null
+++ b/test/core/settings/settingsHandlers.test.ts
@@ -0,0 +1,169 @@
+import { expect, test } from '@jest/globals';
+import { acceptRecord } from '../../../src/core/settings/acceptRecord.js';
+import { createSettingsFold } from '../../../src/core/settings/createSettingsFold.js';
+import type { LogRecord } from '../../../src/core/log/LogRecord.js';
+import type { UntimedEvent } from '../../../src/core/UntimedEvent.js';
+import { findEffects, findMessages } from '../../fixtures/findEffects.js';
+import { makeRecorder } from '../../fixtures/makeRecorder.js';
+import { makeProposal, makeTeam, makeZones } from '../../fixtures/settingsRecords.js';
+
+const tick: UntimedEvent = { type: 'tick' };
+const record = makeProposal(0, 'p1', 'zones', -1, makeZones('w1'));
+
+const propose = (requestId: string): UntimedEvent => ({
+  type: 'command',
+  from: 'vm-1/gateway',
+  requestId,
+  command: {
+    kind: 'proposeSettings',
+    proposalId: 'p1',
+    path: 'zones',
+    expectedVersion: -1,
+    subtree: makeZones('w1'),
+    author: 'ana',
+  },
+});
+
+const makeRead = (readId: string, records: LogRecord[], oldestOffset = 0): UntimedEvent => ({
+  type: 'logRead',
+  readId,
+  stream: 'settings',
+  records,
+  nextOffset: (records.at(-1)?.offset ?? oldestOffset - 1) + 1,
+  oldestOffset,
+});
+
+const readIdOf = (effects: ReturnType<ReturnType<typeof makeRecorder>['push']>): string =>
+  findEffects(effects, 'readLog')[0]!.readId;
+
+const makeAppendFailed = (appendId: string, outcome: 'notSent' | 'unknown'): UntimedEvent => ({
+  type: 'logAppendFailed',
+  appendId,
+  stream: 'settings',
+  outcome,
+  error: 'e',
+});
+
+// Guards against a second append for an operator whose first append took effect.
+test('lost append answer is found by read-back', () => {
+  const { push } = makeRecorder();
+  const readId = readIdOf(push(tick));
+  const appends = findEffects(push(propose('r1')), 'appendLog');
+  expect(appends).toHaveLength(1);
+  expect(push(makeAppendFailed(appends[0]!.appendId, 'unknown'))).toEqual([
+    { type: 'countRetry', reason: 'append-answer-lost' },
+  ]);
+  expect(findEffects(push(propose('r2')), 'appendLog')).toEqual([]);
+  const effects = push(makeRead(readId, [record]));
+  const result = { ok: true, data: { path: 'zones', version: 0 } };
+  expect(findMessages(effects, 'commandResult')).toMatchObject([
+    { requestId: 'r1', result },
+    { requestId: 'r2', result },
+  ]);
+  expect(findMessages(effects, 'settingsTree').map(({ to }) => to)).toEqual([
+    'vm-1/gateway',
+    'vm-1/scheduler',
+  ]);
+  expect(findMessages(push(propose('r3')), 'commandResult')).toMatchObject([{ result }]);
+});
+
+// Guards against a refusal that says "not run" for a proposal that may be in the log.
+test('refusals tell the outcome of the append', () => {
+  const { push } = makeRecorder();
+  const first = findEffects(push(propose('r1')), 'appendLog')[0]!;
+  expect(
+    findMessages(push(makeAppendFailed(first.appendId, 'notSent')), 'commandResult'),
+  ).toMatchObject([{ result: { refusal: { reason: 'log-unavailable', outcome: 'not-run' } } }]);
+  push(propose('r2'));
+  expect(findMessages(push(tick, 9000), 'commandResult')).toMatchObject([
+    { requestId: 'r2', result: { refusal: { reason: 'log-unavailable', outcome: 'unknown' } } },
+  ]);
+  const third = findEffects(push(propose('r3'), 9000), 'appendLog')[0]!;
+  expect(
+    findMessages(push(makeAppendFailed(third.appendId, 'notSent'), 9000), 'commandResult'),
+  ).toMatchObject([{ result: { refusal: { outcome: 'unknown' } } }]);
+});
+
+// Guards against a delayed message or a lagging recorder that brings back an old tree.
+test('older tree is never applied', () => {
+  const { state, push } = makeRecorder();
+  const snapshot = { ...createSettingsFold().snapshot, version: 9 };
+  push({ type: 'settingsTree', from: 'vm-2/recorder', snapshot });
+  const old = { ...snapshot, version: 8 };
+  expect(push({ type: 'settingsTree', from: 'vm-3/recorder', snapshot: old })).toEqual([]);
+  push(makeRead(readIdOf(push(tick)), [record]));
+  expect(state.settings.fold.snapshot.version).toBe(0);
+  expect(state.settings.inForce?.version).toBe(9);
+  expect(push({ type: 'settingsQuery', from: 'vm-4/scheduler', version: 9 })).toEqual([]);
+  expect(
+    findMessages(
+      push({ type: 'settingsQuery', from: 'vm-4/scheduler', version: 8 }),
+      'settingsTree',
+    ),
+  ).toEqual([{ type: 'settingsTree', snapshot, to: 'vm-4/scheduler' }]);
+});
+
+// Guards against a fold over a stream whose beginning is missing.
+test('expired offset restarts from a whole tree', () => {
+  const before = [
+    record,
+    makeProposal(1, 'p2', 'teams/t1', -1, makeTeam('x', 1)),
+    makeProposal(2, 'p3', 'teams/t2', -1, makeTeam('y', 0)),
+  ];
+  const fold = before.slice(0, 2).reduce(acceptRecord, createSettingsFold());
+  const tree = { offset: 3, wall: 3, data: { kind: 'tree', ...fold } };
+  const after = makeProposal(4, 'p4', 'teams/t1', 1, makeTeam('x', 0));
+  const { state, push } = makeRecorder();
+  const scan = push(makeRead(readIdOf(push(tick)), [before[2]!, tree, after], 2));
+  expect(findEffects(scan, 'log')[0]?.code).toBe('settings-records-expired');
+  const again = findEffects(scan, 'readLog')[0]!;
+  expect(again.fromOffset).toBe(2);
+  push(makeRead(again.readId, [before[2]!, tree, after], 2));
+  const whole = [...before, tree, after].reduce(acceptRecord, createSettingsFold());
+  expect(state.settings.fold).toEqual(whole);
+});
+
+// Guards against readers that wait for ever after records around the last tree have expired.
+test('newest tree serves when records after it are gone', () => {
+  const fold = acceptRecord(createSettingsFold(), record);
+  const tree = { offset: 9, wall: 9, data: { kind: 'tree', ...fold } };
+  const later = makeProposal(10, 'p9', 'teams/t1', -1, makeTeam('x', 1));
+  const { state, push } = makeRecorder();
+  const end = readIdOf(push(makeRead(readIdOf(push(tick)), [tree, later], 9)));
+  expect(state.settings.inForce).toBeNull();
+  push({ ...makeRead(end, [], 9), nextOffset: 11 } as UntimedEvent);
+  expect(state.settings.inForce?.version).toBe(0);
+  expect(state.settings.tail).toMatchObject({ gap: false, from: 9 });
+  push(makeRead(readIdOf(push(tick, 200)), [tree, later], 9));
+  expect(state.settings.inForce?.version).toBe(10);
+});
+
+// Guards against an idle stream from which the only tree expires.
+test('tree is appended again at a third of the retention by the first in rank', () => {
+  const timing = { logRetentionMs: 900_000 };
+  const first = makeRecorder('vm-1', timing);
+  const second = makeRecorder('vm-2', timing);
+  [first, second].forEach(({ push }) => {
+    push({ type: 'linkOpened', node: 'vm-1/recorder', zone: 'zone-a' });
+    push(makeRead(readIdOf(push(tick)), [record]));
+  });
+  const peer = { node: 'vm-1/recorder', zone: 'zone-a', linked: true, lastHeardAt: 0 } as const;
+  second.state.membership.peers.set(peer.node, peer);
+  expect(findEffects(first.push(tick, 299_000), 'appendLog')).toEqual([]);
+  expect(findEffects(first.push(tick, 300_000), 'appendLog')).toHaveLength(1);
+  expect(findEffects(first.push(tick, 300_100), 'appendLog')).toEqual([]);
+  expect(findEffects(second.push(tick, 300_000), 'appendLog')).toEqual([]);
+  expect(findEffects(second.push(tick, 360_000), 'appendLog')).toHaveLength(1);
+});
+
+// Guards against a VM without a log connection that misses a change which its peers have.
+test('failed read is repeated and peers are asked', () => {
+  const { state, push } = makeRecorder();
+  const peer = { node: 'vm-2/recorder', zone: 'zone-a', linked: true, lastHeardAt: 0 } as const;
+  state.membership.peers.set(peer.node, peer);
+  const readId = readIdOf(push(tick));
+  const failed = push({ type: 'logReadFailed', readId, stream: 'settings', error: 'e' }, 10);
+  expect(findMessages(failed, 'settingsQuery').map(({ to }) => to)).toEqual(['vm-2/recorder']);
+  expect(findEffects(push(tick, 100), 'readLog')).toEqual([]);
+  expect(findEffects(push(tick, 510), 'readLog')).toHaveLength(1);
+});
