--- a/src/core/defaultTiming.ts
+++ b/src/core/defaultTiming.ts
@@ -23,4 +23,7 @@
   commandTimeoutMs: 10_000,
   usageBatchMs: 500,
   usageCountMs: 5000,
+  usageResendMs: 2000,
+  logRetryMs: 500,
+  logRetentionMs: 86_400_000,
 };
