Add the routes of the control API

Cause: operators and callers submit commands over HTTP; the core decides them and must not see HTTP or clear-text tokens. Ruled out: validation in the core (it would tie decisions to an encoding), and deriving proposal ids from content (two equal proposals are two changes). Change: a table of routes turns each request into a command; createApiRoutes hashes the token, pushes commandRequested and answers JSON or problem+json. Bodies are limited to 1 MiB, the size of a message between daemons. Refusals that do not reach the core are counted by the routes. Conclusion: the gateway can mount the routes with push and awaitCommand.

--- /dev/null
+++ b/src/adapters/api/ApiDependencies.ts
@@ -0,0 +1,12 @@
+import type { CommandResult } from '../../core/commands/CommandResult.js';
+import type { RefusalReason } from '../../core/RefusalReason.js';
+import type { UntimedEvent } from '../../core/UntimedEvent.js';
+
+/** What the routes of the control API need from the gateway. */
+export interface ApiDependencies {
+  push: (event: UntimedEvent) => void;
+  /** Called before the command is pushed; resolves with its `answerCommand` effect. */
+  awaitCommand: (requestId: string) => Promise<CommandResult>;
+  /** Counts refusals of malformed requests, which do not reach the core. */
+  countRefusal: (reason: RefusalReason) => void;
+}
--- /dev/null
+++ b/src/adapters/api/jobRoutes.ts
@@ -0,0 +1,57 @@
+import { err, ok } from 'neverthrow';
+import type { ApiRoute } from './ApiRoute.js';
+import { createJobId } from './createJobId.js';
+import { submitJobSchema } from './submitJobSchema.js';
+import { validateInput } from './validateInput.js';
+
+const jobs = '/v1/workspaces/:ws/jobs';
+
+/** Routes of jobs. */
+export const jobRoutes: readonly ApiRoute[] = [
+  {
+    method: 'POST',
+    path: jobs,
+    status: 202,
+    hasBody: true,
+    toCommand: ({ params: { ws = '' }, body, getHeader }) => {
+      const key = getHeader('idempotency-key');
+      if (key !== undefined && (key === '' || key.length > 255)) {
+        return err('Idempotency-Key: expected 1 to 255 characters.');
+      }
+      return validateInput(submitJobSchema, body, 'body').map(({ zone, ...spec }) => ({
+        kind: 'submitJob',
+        jobId: createJobId(ws, key),
+        workspace: ws,
+        ...(zone === undefined ? {} : { zone }),
+        spec,
+      }));
+    },
+    toLocation: (command) =>
+      command.kind === 'submitJob'
+        ? `/v1/workspaces/${encodeURIComponent(command.workspace)}/jobs/${command.jobId}`
+        : jobs,
+  },
+  {
+    method: 'GET',
+    path: jobs,
+    status: 200,
+    hasBody: false,
+    toCommand: ({ params: { ws = '' } }) => ok({ kind: 'listJobs', workspace: ws }),
+  },
+  {
+    method: 'GET',
+    path: `${jobs}/:id`,
+    status: 200,
+    hasBody: false,
+    toCommand: ({ params: { ws = '', id = '' } }) =>
+      ok({ kind: 'showJob', workspace: ws, jobId: id }),
+  },
+  {
+    method: 'DELETE',
+    path: `${jobs}/:id`,
+    status: 202,
+    hasBody: false,
+    toCommand: ({ params: { ws = '', id = '' } }) =>
+      ok({ kind: 'cancelJob', workspace: ws, jobId: id }),
+  },
+];
--- /dev/null
+++ b/src/adapters/api/readJsonBody.ts
@@ -0,0 +1,23 @@
+import { err, ok, type Result } from 'neverthrow';
+import type { Refusal } from '../../core/Refusal.js';
+
+const maxBytes = 1_048_576;
+
+const refuse = (reason: Refusal['reason'], detail: string): Result<never, Refusal> =>
+  err({ reason, outcome: 'not-run', detail });
+
+/** Reads a JSON body of at most 1 MiB, the limit of a message between daemons. */
+export const readJsonBody = async (request: Request): Promise<Result<unknown, Refusal>> => {
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  for await (const chunk of request.body ?? []) {
+    bytes += chunk.byteLength;
+    if (bytes > maxBytes) return refuse('body-too-large', `The body exceeds ${maxBytes} bytes.`);
+    chunks.push(chunk);
+  }
+  try {
+    return ok(JSON.parse(Buffer.concat(chunks).toString('utf8')));
+  } catch {
+    return refuse('bad-request', 'body: expected JSON.');
+  }
+};
--- /dev/null
+++ b/src/adapters/api/reportRoutes.ts
@@ -0,0 +1,38 @@
+import { ok } from 'neverthrow';
+import { z } from 'zod';
+import type { ApiRoute } from './ApiRoute.js';
+import { validateInput } from './validateInput.js';
+
+const timeMessage = 'expected a UTC time such as 2030-01-31T00:00:00Z';
+
+const timeSchema = z.iso
+  .datetime({ offset: true, error: timeMessage })
+  .transform((text) => Date.parse(text));
+
+const periodSchema = z
+  .object({ from: timeSchema, to: timeSchema })
+  .refine(({ from, to }) => from < to, { path: ['to'], message: 'expected a time after "from"' });
+
+/** Routes of status and usage. */
+export const reportRoutes: readonly ApiRoute[] = [
+  {
+    method: 'GET',
+    path: '/v1/status',
+    status: 200,
+    hasBody: false,
+    toCommand: () => ok({ kind: 'showStatus' }),
+  },
+  {
+    method: 'GET',
+    path: '/v1/workspaces/:ws/usage',
+    status: 200,
+    hasBody: false,
+    toCommand: ({ params: { ws = '' }, query }) =>
+      validateInput(periodSchema, query, 'query').map(({ from, to }) => ({
+        kind: 'reportUsage',
+        workspace: ws,
+        fromWall: from,
+        toWall: to,
+      })),
+  },
+];
--- /dev/null
+++ b/src/adapters/api/validateInput.ts
@@ -0,0 +1,16 @@
+import { err, ok, type Result } from 'neverthrow';
+import type { z } from 'zod';
+
+/** Validates input of a caller; the error names each wrong field and what would be right. */
+export const validateInput = <T>(
+  schema: z.ZodType<T>,
+  input: unknown,
+  name: string,
+): Result<T, string> => {
+  const checked = schema.safeParse(input);
+  if (checked.success) return ok(checked.data);
+  const texts = checked.error.issues.map(
+    ({ path, message }) => `${[name, ...path.map(String)].join('.')}: ${message}.`,
+  );
+  return err(texts.join(' '));
+};
--- /dev/null
+++ b/test/adapters/api/createApiRoutes.test.ts
@@ -0,0 +1,102 @@
+import { createHash } from 'node:crypto';
+import { expect, test } from '@jest/globals';
+import { createApiRoutes } from '../../../src/adapters/api/createApiRoutes.js';
+import type { CommandResult } from '../../../src/core/commands/CommandResult.js';
+import type { UntimedEvent } from '../../../src/core/UntimedEvent.js';
+
+const spec = { tasks: 2, acceleratorsPerTask: 4, declaredMs: 60_000 };
+
+const callApi = async (
+  method: string,
+  path: string,
+  options: { headers?: Record<string, string>; body?: unknown; result?: CommandResult } = {},
+) => {
+  const events: Extract<UntimedEvent, { type: 'commandRequested' }>[] = [];
+  const counted: string[] = [];
+  const routes = createApiRoutes({
+    push: (event) => {
+      if (event.type === 'commandRequested') events.push(event);
+    },
+    awaitCommand: () => Promise.resolve(options.result ?? { ok: true, data: { fine: true } }),
+    countRefusal: (reason) => counted.push(reason),
+  });
+  const answer = await routes.request(path, {
+    method,
+    headers: { authorization: 'Bearer secret', ...options.headers },
+    ...(options.body === undefined ? {} : { body: JSON.stringify(options.body) }),
+  });
+  const json = (await answer.json()) as Record<string, unknown>;
+  return { answer, json, counted, command: events[0]?.command, event: events[0] };
+};
+
+// Guards against a repeated submission that creates a second job.
+test('idempotency key gives one job id per workspace', async () => {
+  const headers = { 'idempotency-key': 'a' };
+  const first = await callApi('POST', '/v1/workspaces/ws-1/jobs', { headers, body: spec });
+  const again = await callApi('POST', '/v1/workspaces/ws-1/jobs', { headers, body: spec });
+  const other = await callApi('POST', '/v1/workspaces/ws-2/jobs', { headers, body: spec });
+  expect(first.answer.status).toBe(202);
+  expect(first.answer.headers.get('location')).toMatch(
+    /^\/v1\/workspaces\/ws-1\/jobs\/k[0-9a-f]{24}$/,
+  );
+  expect(again.command).toEqual(first.command);
+  expect(other.answer.headers.get('location')).not.toBe(first.answer.headers.get('location'));
+});
+
+// Guards against a token that reaches the core, its log or the mesh in clear text.
+test('token is hashed', async () => {
+  const { event } = await callApi('GET', '/v1/status');
+  expect(event?.tokenHash).toBe(createHash('sha256').update('secret').digest('hex'));
+});
+
+// Each row guards against a route that asks the core for something else.
+test.each([
+  ['GET', '/v1/workspaces/w/jobs', { kind: 'listJobs', workspace: 'w' }],
+  ['GET', '/v1/workspaces/w/jobs/j1', { kind: 'showJob', workspace: 'w', jobId: 'j1' }],
+  ['DELETE', '/v1/workspaces/w/jobs/j1', { kind: 'cancelJob', workspace: 'w', jobId: 'j1' }],
+  ['GET', '/v1/settings', { kind: 'showSettings' }],
+  ['GET', '/v1/settings-history?path=teams/t', { kind: 'listProposals', path: 'teams/t' }],
+  [
+    'GET',
+    '/v1/workspaces/w/usage?from=2030-01-01T00:00:00Z&to=2030-01-01T00:00:01Z',
+    { kind: 'reportUsage', workspace: 'w', fromWall: 1_893_456_000_000, toWall: 1_893_456_001_000 },
+  ],
+])('command of %s %s', async (method, path, expected) => {
+  expect((await callApi(method, path)).command).toEqual(expected);
+});
+
+// Guards against a proposal that loses its expected version or the path behind the slash.
+test('proposal carries path, version and author', async () => {
+  const headers = { 'if-match': '"12"', 'siskin-author': 'ada' };
+  const body = { tokenHashes: [], workspaces: {} };
+  const { command } = await callApi('PUT', '/v1/settings/teams/t', { headers, body });
+  const expected = { path: 'teams/t', expectedVersion: 12, author: 'ada', subtree: body };
+  expect(command).toMatchObject({ kind: 'proposeSettings', ...expected });
+});
+
+// Each row guards against malformed input that reaches the core or is refused without its field.
+test.each([
+  ['POST', '/v1/workspaces/w/jobs', { body: { ...spec, tasks: 0 } }, 400, 'body.tasks: expected'],
+  ['POST', '/v1/workspaces/w/jobs', {}, 400, 'body: expected JSON'],
+  ['POST', '/v1/workspaces/w/jobs', { body: 'x'.repeat(1_048_577) }, 413, 'exceeds'],
+  ['PUT', '/v1/settings/teams/t', { body: {} }, 400, 'If-Match: expected'],
+  ['PUT', '/v1/settings/teams/t/u', { body: {} }, 400, 'expected "zones" or "teams/TEAM"'],
+  ['GET', '/v1/workspaces/w/usage?from=1', {}, 400, 'query.from: expected a UTC time'],
+  ['GET', '/v1/status', { headers: { authorization: 'Basic x' } }, 401, 'no valid token'],
+])('refused before the core: row %#, %s %s', async (method, path, options, status, detail) => {
+  const { answer, json, command, counted } = await callApi(method, path, options);
+  expect([answer.status, json.outcome, command]).toEqual([status, 'not-run', undefined]);
+  expect(json.detail).toContain(detail);
+  expect(counted).toEqual([json.code]);
+});
+
+// Guards against a refusal of the core without its waiting time, or counted twice.
+test('refusal of the core becomes a problem with Retry-After', async () => {
+  const refusal = { reason: 'no-lead', outcome: 'not-run', retryAfterMs: 1200 } as const;
+  const { answer, json, counted } = await callApi('GET', '/v1/workspaces/w/jobs', {
+    result: { ok: false, refusal },
+  });
+  expect([answer.status, answer.headers.get('retry-after')]).toEqual([503, '2']);
+  expect(answer.headers.get('content-type')).toBe('application/problem+json');
+  expect([json.code, counted.length]).toEqual(['no-lead', 0]);
+});
