--- a/src/adapters/config/timingSchema.ts
+++ b/src/adapters/config/timingSchema.ts
@@ -24,6 +24,9 @@
   retryWindowMs: 'window over which the retry budget is counted',
   commandTimeoutMs: 'time allowed for the answer to an operator command',
   usageCountMs: 'length of the intervals in which short requests are counted',
+  usageResendMs: 'time after which an unacknowledged usage batch is sent again',
+  logRetryMs: 'first pause before a failed call of the log is repeated',
+  logRetentionMs: 'time for which the log keeps records',
   usageBatchMs: 'longest wait of a usage record before its batch is appended',
 };
 
--- a/src/adapters/gateway/createGatewayServer.ts
+++ b/src/adapters/gateway/createGatewayServer.ts
@@ -8,6 +8,7 @@
 import type { CallerTable } from '../callers/CallerTable.js';
 import { createCallerRoutes } from '../callers/createCallerRoutes.js';
 import { createCallerRunners } from '../callers/createCallerRunners.js';
+import type { EffectRunners } from '../EffectRunners.js';
 import type { Logger } from '../logger/Logger.js';
 import type { GatewayServer } from './GatewayServer.js';
 
--- a/src/adapters/loop/createLoop.ts
+++ b/src/adapters/loop/createLoop.ts
@@ -1,6 +1,5 @@
 import { performance } from 'node:perf_hooks';
 import type { Effect } from '../../core/Effect.js';
-import type { Event } from '../../core/Event.js';
 import { reduce } from '../../core/reduce.js';
 import type { State } from '../../core/State.js';
 import type { UntimedEvent } from '../../core/UntimedEvent.js';
--- a/src/core/access/isAllowed.ts
+++ b/src/core/access/isAllowed.ts
@@ -14,6 +14,7 @@
   workspace: (state, team, { workspace }) => state.settings.teamByWorkspace.get(workspace) === team,
   subtree: (_state, team, { path }) => path === `teams/${team}`,
   office: () => false,
+  own: () => true,
 };
 
 /** Tells whether a principal may reach a target; a team reaches only what belongs to it. */
--- a/src/core/requests/CommandRoute.ts
+++ b/src/core/requests/CommandRoute.ts
@@ -1,5 +1,7 @@
 import type { AccessTarget } from '../access/AccessTarget.js';
+import type { Principal } from '../access/Principal.js';
 import type { Command } from '../commands/Command.js';
+import type { CommandResult } from '../commands/CommandResult.js';
 import type { NodeId } from '../NodeId.js';
 import type { State } from '../State.js';
 
@@ -10,6 +12,8 @@
   /** Completes the command with the zone that decides it. */
   resolveZone: (state: State, command: Extract<Command, { kind: K }>) => Command;
   findTargets: (state: State, command: Extract<Command, { kind: K }>, at: number) => NodeId[];
+  /** Answers without asking another daemon, where the gateway itself has what is needed. */
+  answerLocally?: (state: State, principal: Principal) => CommandResult;
   /** Whether the command changes anything, so that a missing answer leaves its outcome unknown. */
   changes: boolean;
 }
--- a/src/core/requests/commandRoutes.ts
+++ b/src/core/requests/commandRoutes.ts
@@ -1,6 +1,10 @@
 import type { AccessTarget } from '../access/AccessTarget.js';
+import { buildVisibleSnapshot } from '../access/buildVisibleSnapshot.js';
+import type { Principal } from '../access/Principal.js';
 import type { Command } from '../commands/Command.js';
+import type { CommandResult } from '../commands/CommandResult.js';
 import type { NodeId } from '../NodeId.js';
+import { refuse } from '../refuse.js';
 import type { State } from '../State.js';
 import { chooseScheduler } from './chooseScheduler.js';
 import type { CommandRoute } from './CommandRoute.js';
@@ -41,6 +45,13 @@
 
 const getOffice = (): AccessTarget => ({ kind: 'office' });
 
+const showVisibleSettings = (state: State, principal: Principal): CommandResult => {
+  const { inForce } = state.settings;
+  return inForce
+    ? { ok: true, data: buildVisibleSnapshot(principal, inForce) }
+    : { ok: false, refusal: refuse('no-settings', 'not-run', 1000) };
+};
+
 /** Routes of all commands, by kind. */
 export const commandRoutes: { readonly [K in Command['kind']]: CommandRoute<K> } = {
   submitJob: {
@@ -78,7 +89,9 @@
     changes: false,
   },
   showSettings: {
-    getAccess: getOffice,
+    // Every principal may ask; the answer holds only what it may see.
+    getAccess: () => ({ kind: 'own' }),
+    answerLocally: showVisibleSettings,
     resolveZone: keep,
     findTargets: findRecorder,
     changes: false,
--- a/src/core/requests/handleCommandRequested.ts
+++ b/src/core/requests/handleCommandRequested.ts
@@ -36,8 +36,13 @@
   const { requestId, command } = event;
   const principal = resolvePrincipal(state, event.tokenHash);
   const refusal = findRefusal(state, principal, command);
-  if (refusal) return refuseCommand(requestId, refusal);
+  if (refusal || !principal) {
+    return refuseCommand(requestId, refusal ?? refuse('unauthorized'));
+  }
   const route = commandRoutes[command.kind];
+  if (route.answerLocally) {
+    return [{ type: 'answerCommand', requestId, result: route.answerLocally(state, principal) }];
+  }
   const routed = route.resolveZone(state, command as never);
   const targets = route.findTargets(state, routed as never, event.at);
   if (targets.length === 0) return refuseCommand(requestId, refuse('no-lead', 'not-run', 1000));
