Test leases, routing and requests; send a failing class elsewhere first

Cause: a class that always fails went to the same idle worker five times, so the worker was suspected before the class was seen to fail on three workers. Ruled out: a higher threshold for workers, which would keep a bad worker longer. Change: a class that failed on a worker prefers other workers; tests of leases, grants, keys and attempt phases.

--- a/src/core/routing/chooseWorker.ts
+++ b/src/core/routing/chooseWorker.ts
@@ -16,6 +16,11 @@
   return at >= load.suspectUntil && load.grants.size === 0;
 };
 
+// A class that failed on a worker goes elsewhere first, which tells a bad class from a bad worker.
+const isAvoided = (state: State, request: WaitingRequest, workerId: string): boolean =>
+  request.avoid.includes(workerId) ||
+  (state.routing.failedWorkersByClass.get(request.requestClass)?.has(workerId) ?? false);
+
 /**
  * Chooses the worker with a free slot and the least expected finish; ties go to the fewest running,
  * then the fewest completed requests. O(workers of the zone).
@@ -26,7 +31,7 @@
     if (!isUsable(state, workerId, at) || countFreeSlots(state, workerId) <= 0) return;
     const load = getWorkerLoad(state, workerId);
     const score = [
-      request.avoid.includes(workerId) ? 1 : 0,
+      isAvoided(state, request, workerId) ? 1 : 0,
       estimateServiceMs(state, workerId, request.requestClass),
       load.grants.size,
       load.completed,
--- /dev/null
+++ b/test/core/ownership/ownershipHandlers.test.ts
@@ -0,0 +1,110 @@
+import { expect, test } from '@jest/globals';
+import { isHeld } from '../../../src/core/ownership/isHeld.js';
+import { isLead } from '../../../src/core/ownership/isLead.js';
+import { answerLeases } from '../../fixtures/answerLeases.js';
+import { findEffects } from '../../fixtures/findEffects.js';
+import { makeDaemon } from '../../fixtures/makeDaemon.js';
+import { makeHolder } from '../../fixtures/makeHolder.js';
+import { makeReport } from '../../fixtures/makeReport.js';
+import { makeSnapshotEvent } from '../../fixtures/makeSnapshotEvent.js';
+
+const makeIdle = (workers: string[]) => {
+  const daemon = makeDaemon('scheduler', 'vm-2');
+  daemon.push(makeSnapshotEvent(1, workers));
+  return daemon;
+};
+
+const listPurposes = (effects: Parameters<typeof findEffects>[0]): string[] =>
+  findEffects(effects, 'callWorker').map(({ call }) =>
+    call.kind === 'lease' ? call.purpose : call.kind,
+  );
+
+// Guards against two holders: a worker renewed by another within its lease is not claimed.
+test('held worker is not claimed', () => {
+  const daemon = makeIdle(['w1']);
+  const effects = answerLeases(daemon, daemon.push({ type: 'tick' }), makeReport('vm-1/x', 3400));
+  expect(listPurposes(effects)).toEqual([]);
+});
+
+test('silent worker is claimed', () => {
+  const daemon = makeIdle(['w1']);
+  answerLeases(daemon, daemon.push({ type: 'tick' }), makeReport('vm-1/x', 3600));
+  expect(isHeld(daemon.state, 'w1', 1000)).toBe(true);
+});
+
+// Guards against a claim on a worker that restarted and forgot a holder whose lease still runs.
+test('restarted worker is not claimed before a lease has passed', () => {
+  const daemon = makeIdle(['w1']);
+  const effects = answerLeases(daemon, daemon.push({ type: 'tick' }), makeReport(null, 2900));
+  expect(listPurposes(effects)).toEqual([]);
+});
+
+// Guards against two claimants that both believe they won.
+test('claim that names another holder is lost', () => {
+  const daemon = makeIdle(['w1']);
+  const [probe] = findEffects(daemon.push({ type: 'tick' }), 'callWorker');
+  const answer = daemon.push({
+    type: 'leaseAnswered',
+    workerId: 'w1',
+    purpose: 'probe',
+    sentAt: 1000,
+    report: makeReport('vm-1/x', 4000),
+  });
+  expect(probe!.workerId).toBe('w1');
+  answerLeases(daemon, answer, makeReport('vm-3/y', 20));
+  expect(isHeld(daemon.state, 'w1', 1000)).toBe(false);
+});
+
+// Guards against a resumed process that acts on leases which lapsed while it was paused.
+test('paused holder drops its workers', () => {
+  const daemon = makeHolder(['w1', 'w2']);
+  expect(isLead(daemon.state, 1000)).toBe(true);
+  daemon.advance(3000);
+  const grant = daemon.push({
+    type: 'grantRequest',
+    from: 'vm-1/gateway',
+    requestId: 'r1',
+    attempt: 1,
+    workspace: 'toys',
+    requestClass: 'c',
+    idempotent: true,
+    timeoutMs: 1000,
+    avoid: [],
+  });
+  expect(findEffects(grant, 'send').map(({ message }) => message)).toMatchObject([
+    { type: 'refuseGrant', refusal: { reason: 'not-holder', outcome: 'not-run' } },
+  ]);
+  const effects = daemon.push({ type: 'tick' });
+  expect(findEffects(effects, 'count')).toContainEqual({ type: 'count', name: 'lease_lapsed' });
+});
+
+// Guards against a late answer that revives a lapsed lease without a new claim.
+test('late renewal does not revive a lapsed lease', () => {
+  const daemon = makeHolder(['w1']);
+  daemon.advance(1000);
+  daemon.push({ type: 'tick' });
+  daemon.advance(2000);
+  daemon.push({
+    type: 'leaseAnswered',
+    workerId: 'w1',
+    purpose: 'renew',
+    sentAt: 2000,
+    report: makeReport('vm-1/i1', 1000),
+  });
+  expect(isHeld(daemon.state, 'w1', 4000)).toBe(false);
+});
+
+// Guards against a hand-over that waits for the leases to lapse.
+test('shutdown gives every worker back', () => {
+  const daemon = makeHolder(['w1', 'w2']);
+  const effects = daemon.push({ type: 'shutdownRequested' });
+  expect(listPurposes(effects)).toEqual(['release', 'release']);
+  expect(isLead(daemon.state, 1000)).toBe(false);
+});
+
+// Guards against a drained worker that keeps a zone without a lead.
+test('lead needs more than half of the registered workers', () => {
+  const daemon = makeHolder(['w1', 'w2']);
+  daemon.push(makeSnapshotEvent(2, ['w1', 'w2', 'w3', 'w4']));
+  expect(isLead(daemon.state, 1000)).toBe(false);
+});
--- /dev/null
+++ b/test/core/routing/routingHandlers.test.ts
@@ -0,0 +1,158 @@
+import { expect, test } from '@jest/globals';
+import type { Effect } from '../../../src/core/Effect.js';
+import type { AttemptOutcome } from '../../../src/core/routing/AttemptOutcome.js';
+import type { UntimedEvent } from '../../../src/core/UntimedEvent.js';
+import { findMessages } from '../../fixtures/findEffects.js';
+import type { TestDaemon } from '../../fixtures/makeDaemon.js';
+import { makeHolder } from '../../fixtures/makeHolder.js';
+import { makeSnapshotEvent } from '../../fixtures/makeSnapshotEvent.js';
+
+const gateway = 'vm-1/gateway';
+
+const ask = (requestId: string, changes: object = {}): UntimedEvent => ({
+  type: 'grantRequest',
+  from: gateway,
+  requestId,
+  attempt: 1,
+  workspace: 'toys',
+  requestClass: 'label',
+  idempotent: false,
+  timeoutMs: 10_000,
+  avoid: [],
+  ...changes,
+});
+
+const release = (requestId: string, outcome: AttemptOutcome, elapsedMs = 50): UntimedEvent => ({
+  type: 'releaseGrant',
+  from: gateway,
+  requestId,
+  attemptId: `${requestId}.1`,
+  outcome,
+  elapsedMs,
+});
+
+const listReasons = (effects: Effect[]): string[] =>
+  findMessages(effects, 'refuseGrant').map(({ refusal }) => refusal.reason);
+
+const fillSlots = (daemon: TestDaemon, count: number): void => {
+  for (let index = 0; index < count; index += 1) daemon.push(ask(`fill-${index}`));
+};
+
+// Guards against a worker that gets more requests than it has slots.
+test('grants stop at the slots', () => {
+  const daemon = makeHolder(['w1']);
+  fillSlots(daemon, 8);
+  expect(findMessages(daemon.push(ask('r9')), 'grant')).toEqual([]);
+  const freed = daemon.push(release('fill-0', 'answered'));
+  expect(findMessages(freed, 'grant')).toMatchObject([{ requestId: 'r9', workerId: 'w1' }]);
+});
+
+// Guards against a waiting request that a refusal calls not run although it was granted later.
+test('deadline refuses a waiting request once', () => {
+  const daemon = makeHolder(['w1']);
+  fillSlots(daemon, 8);
+  daemon.push(ask('r9', { timeoutMs: 100 }));
+  daemon.advance(100);
+  expect(listReasons(daemon.push({ type: 'tick' }))).toEqual(['deadline-exceeded']);
+  expect(findMessages(daemon.push(release('fill-0', 'answered')), 'grant')).toEqual([]);
+});
+
+// Guards against new work for a leaving worker, whatever other sources say.
+test('leaving worker gets no grant', () => {
+  const daemon = makeHolder(['w1']);
+  daemon.push({ type: 'vmsListed', vms: [{ id: 'w1', state: 'leaving' }] });
+  expect(findMessages(daemon.push(ask('r1')), 'grant')).toEqual([]);
+});
+
+// Guards against a second run of a key that came back while or after the first ran.
+test('used key is refused', () => {
+  const daemon = makeHolder(['w1']);
+  daemon.push(ask('r1', { idempotencyKey: 'k' }));
+  expect(listReasons(daemon.push(ask('r2', { idempotencyKey: 'k' })))).toEqual(['key-in-progress']);
+  daemon.push(release('r1', 'answered'));
+  expect(listReasons(daemon.push(ask('r3', { idempotencyKey: 'k' })))).toEqual([
+    'key-already-used',
+  ]);
+});
+
+test('unsent attempt frees its key', () => {
+  const daemon = makeHolder(['w1']);
+  daemon.push(ask('r1', { idempotencyKey: 'k' }));
+  daemon.push(release('r1', 'not-sent'));
+  const effects = daemon.push(ask('r2', { idempotencyKey: 'k' }));
+  expect(findMessages(effects, 'grant')).toMatchObject([{ requestId: 'r2' }]);
+});
+
+// Guards against a successor that does not know a key which its predecessor granted.
+test('keyed grant waits for the zone peer', () => {
+  const daemon = makeHolder(['w1']);
+  daemon.push({ type: 'linkOpened', node: 'vm-2/scheduler', zone: 'zone-a' });
+  const effects = daemon.push(ask('r1', { idempotencyKey: 'k' }));
+  expect(findMessages(effects, 'grant')).toEqual([]);
+  const { sequence } = findMessages(effects, 'replicate').at(-1)!;
+  const acknowledged = daemon.push({ type: 'replicateAck', from: 'vm-2/scheduler', sequence });
+  expect(findMessages(acknowledged, 'grant')).toMatchObject([{ requestId: 'r1' }]);
+});
+
+// Guards against a lead that uses keys which an earlier lead may have used without telling it.
+test('lead without memory refuses keys', () => {
+  const daemon = makeHolder(['w1']);
+  daemon.state.routing.keyMemoryGapUntil = 2000;
+  expect(listReasons(daemon.push(ask('r1', { idempotencyKey: 'k' })))).toEqual(['key-memory-lost']);
+});
+
+// Guards against a worker that fails everything, looks idle and attracts all work.
+test('failing worker is suspected', () => {
+  const daemon = makeHolder(['w1', 'w2']);
+  for (let index = 0; index < 20; index += 1) {
+    const [grant] = findMessages(
+      daemon.push(ask(`f${index}`, { requestClass: `c${index}` })),
+      'grant',
+    );
+    daemon.push(release(`f${index}`, grant!.workerId === 'w1' ? 'failed' : 'answered'));
+  }
+  const { loads } = daemon.state.routing;
+  expect(loads.get('w1')!.consecutiveFailures).toBe(5);
+  const grants = findMessages(daemon.push(ask('r1')), 'grant');
+  expect(grants).toMatchObject([{ workerId: 'w2' }]);
+});
+
+// Guards against healthy workers being avoided because one kind of request always fails.
+test('bad class does not count against workers', () => {
+  const daemon = makeHolder(['w1', 'w2', 'w3', 'w4']);
+  for (let index = 0; index < 40; index += 1) {
+    daemon.push(ask(`f${index}`, { requestClass: 'bad' }));
+    daemon.push(release(`f${index}`, 'failed'));
+  }
+  const failures = [...daemon.state.routing.loads.values()].map((load) => load.consecutiveFailures);
+  expect(Math.max(...failures)).toBeLessThan(5);
+});
+
+// Guards against slots that stay taken after their gateway died.
+test('lost gateway frees its slots', () => {
+  const daemon = makeHolder(['w1']);
+  daemon.push({ type: 'linkOpened', node: gateway, zone: 'zone-a' });
+  fillSlots(daemon, 8);
+  daemon.push({ type: 'linkClosed', node: gateway });
+  daemon.state.ownership.leases.get('w1')!.renewedAt = 5000;
+  daemon.advance(3000);
+  daemon.push({ type: 'tick' });
+  expect(daemon.state.routing.grants.size).toBe(0);
+});
+
+// Guards against one workspace's burst that keeps another's requests waiting.
+test('workspaces take turns', () => {
+  const daemon = makeHolder(['w1']);
+  const snapshot = makeSnapshotEvent(2, ['w1']);
+  if (snapshot.type !== 'settingsTree') throw new Error('not a tree');
+  const { workspaces } = snapshot.snapshot.tree.teams['team-a']!;
+  workspaces.logs = { ...workspaces.toys! };
+  daemon.push(snapshot);
+  fillSlots(daemon, 8);
+  for (let index = 0; index < 4; index += 1) daemon.push(ask(`t${index}`));
+  daemon.push(ask('l0', { workspace: 'logs' }));
+  const first = daemon.push(release('fill-0', 'answered'));
+  const second = daemon.push(release('fill-1', 'answered'));
+  const granted = [...findMessages(first, 'grant'), ...findMessages(second, 'grant')];
+  expect(granted.map(({ requestId }) => requestId)).toContain('l0');
+});
