Plan guaranteed shapes onto workers

Cause: a workspace's guarantee is a shape, so the scheduler needs to know which workers hold it. Ruled out: an exact search, whose cost grows too fast with the shapes; a plan from scratch after every death, which moves shapes that lost nothing. Change: buildPlan places greedily in two orders and keeps earlier places unless a plan from scratch places more.

--- /dev/null
+++ b/src/core/collectBy.ts
@@ -0,0 +1,10 @@
+/** Collects items by key, keeping their order. */
+export const collectBy = <T>(items: Iterable<T>, keyOf: (item: T) => string): Map<string, T[]> => {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const group = groups.get(keyOf(item));
+    if (group) group.push(item);
+    else groups.set(keyOf(item), [item]);
+  }
+  return groups;
+};
--- /dev/null
+++ b/src/core/guarantees/buildPlan.ts
@@ -0,0 +1,80 @@
+import { collectBy } from '../collectBy.js';
+import type { SettingsTree } from '../settings/SettingsTree.js';
+import { compareShapes } from './compareShapes.js';
+import type { FreeWorker } from './FreeWorker.js';
+import type { GuaranteeCell } from './GuaranteeCell.js';
+import type { GuaranteePlan } from './GuaranteePlan.js';
+import { listZoneShapes } from './listZoneShapes.js';
+import { placeAgain } from './placeAgain.js';
+import { placeShape } from './placeShape.js';
+import type { ZoneShape } from './ZoneShape.js';
+
+type Order = (a: ZoneShape, b: ZoneShape) => number;
+
+// Greedy planning can miss a plan that exists; a second order finds some of those.
+const orders: Order[] = [
+  compareShapes,
+  (a, b) =>
+    b.spec.workers * b.spec.acceleratorsPerWorker - a.spec.workers * a.spec.acceleratorsPerWorker ||
+    compareShapes(a, b),
+];
+
+const formatKey = (workspace: string, shape: number): string => JSON.stringify([workspace, shape]);
+
+const listWorkers = (
+  tree: SettingsTree,
+  zone: string,
+  usable: ReadonlySet<string> | null,
+): FreeWorker[] =>
+  Object.entries(tree.zones[zone]?.workers ?? {})
+    .filter(([workerId]) => usable === null || usable.has(workerId))
+    .map(([workerId, { rack, accelerators }]) => ({ workerId, rack, free: accelerators }));
+
+const planShapes = (
+  shapes: ZoneShape[],
+  workers: FreeWorker[],
+  previous: GuaranteeCell[],
+): GuaranteePlan & { missing: number } => {
+  const byId = new Map(workers.map((worker) => [worker.workerId, worker]));
+  const before = collectBy(previous, (cell) => formatKey(cell.workspace, cell.shape));
+  const placed = new Map<ZoneShape, GuaranteeCell[]>();
+  shapes.forEach((shape) => {
+    const cells = before.get(formatKey(shape.workspace, shape.shape));
+    const kept = cells && placeAgain(byId, shape, cells);
+    if (kept) placed.set(shape, kept);
+  });
+  shapes.forEach((shape) => {
+    const cells = placed.has(shape) ? null : placeShape(workers, shape);
+    if (cells) placed.set(shape, cells);
+  });
+  const unplaced = shapes.filter((shape) => !placed.has(shape));
+  return {
+    cells: shapes.flatMap((shape) => placed.get(shape) ?? []),
+    unplaced: unplaced.map(({ workspace, shape }) => ({ workspace, shape })),
+    missing: unplaced.reduce((sum, { spec }) => sum + spec.workers * spec.acceleratorsPerWorker, 0),
+  };
+};
+
+/**
+ * Maps the guaranteed shapes of a zone to workers; `usable` null stands for the whole inventory.
+ * Places of `previous` cells that are still valid are kept, unless a plan from scratch places
+ * more. Cost: O(shapes × workers log workers).
+ */
+export const buildPlan = (
+  tree: SettingsTree,
+  zone: string,
+  usable: ReadonlySet<string> | null,
+  previous: GuaranteeCell[] = [],
+): GuaranteePlan => {
+  const shapes = listZoneShapes(tree, zone);
+  const attempts = [...(previous.length > 0 ? [previous] : []), []].flatMap((kept) =>
+    orders.map((order) => ({ kept, order })),
+  );
+  let best: (GuaranteePlan & { missing: number }) | null = null;
+  for (const { kept, order } of attempts) {
+    const plan = planShapes(shapes.toSorted(order), listWorkers(tree, zone, usable), kept);
+    if (!best || plan.missing < best.missing) best = plan;
+    if (best.missing === 0) break;
+  }
+  return { cells: best?.cells ?? [], unplaced: best?.unplaced ?? [] };
+};
--- /dev/null
+++ b/src/core/guarantees/updatePlan.ts
@@ -0,0 +1,59 @@
+import type { Effect } from '../Effect.js';
+import type { EventTime } from '../jobs/EventTime.js';
+import { isHeld } from '../ownership/isHeld.js';
+import type { State } from '../State.js';
+import { buildPlan } from './buildPlan.js';
+import type { GuaranteeCell } from './GuaranteeCell.js';
+
+const listUsable = (state: State, at: number): Set<string> => {
+  const workers = state.settings.inForce?.tree.zones[state.self.zone]?.workers ?? {};
+  const usable = Object.keys(workers).filter(
+    (id) =>
+      !workers[id]?.drained && !state.ownership.leases.get(id)?.leaving && isHeld(state, id, at),
+  );
+  return new Set(usable);
+};
+
+const collectCells = (cells: GuaranteeCell[]): Map<string, Map<string, number>> => {
+  const byWorker = new Map<string, Map<string, number>>();
+  cells.forEach(({ workerId, workspace, accelerators }) => {
+    const byWorkspace = byWorker.get(workerId) ?? new Map<string, number>();
+    byWorkspace.set(workspace, (byWorkspace.get(workspace) ?? 0) + accelerators);
+    byWorker.set(workerId, byWorkspace);
+  });
+  return byWorker;
+};
+
+/**
+ * Recomputes the plan from the workers that this scheduler may use and reports changes of the
+ * unplaced shapes. Cost: that of `buildPlan`.
+ */
+export const updatePlan = (state: State, event: EventTime): Effect[] => {
+  if (state.self.role !== 'scheduler' || !state.settings.inForce) return [];
+  const { guarantees, settings, self } = state;
+  const plan = buildPlan(
+    settings.inForce?.tree ?? { zones: {}, teams: {} },
+    self.zone,
+    listUsable(state, event.at),
+    guarantees.cells,
+  );
+  const before = guarantees.unplaced;
+  guarantees.cells = plan.cells;
+  guarantees.cellsByWorker = collectCells(plan.cells);
+  guarantees.unplaced = plan.unplaced.map((id) => ({
+    ...id,
+    sinceWall:
+      before.find((old) => old.workspace === id.workspace && old.shape === id.shape)?.sinceWall ??
+      event.wall,
+  }));
+  if (JSON.stringify(before) === JSON.stringify(guarantees.unplaced)) return [];
+  return [
+    { type: 'gauge', name: 'unplaced_guarantees', value: guarantees.unplaced.length },
+    {
+      type: 'log',
+      level: guarantees.unplaced.length > 0 ? 'warn' : 'info',
+      code: 'unplaced-guarantees',
+      fields: { unplaced: guarantees.unplaced },
+    },
+  ];
+};
