Submit, place, start, stop and adopt gang jobs

Cause: gangs must run whole or not at all, and guarantees must be reclaimable at any moment. Ruled out: counting quota only, which does not describe a shape; a scan of all tasks on each event. Change: placement tries own cells, unassigned capacity and lent cells, by best fit. The oldest gang that does not fit reserves workers, which other jobs use only if they are expected to end before. Gangs are prepared, then started; a lost, late or refused part stops all of them. Reclaim takes a checkpoint of the borrowers for at most checkpointMs. Tasks found on a claimed worker are joined with the replicated jobs or adopted from the worker's report. Conclusion: works against direct events; not yet run with the ownership and replication features.

--- a/src/core/jobs/JobPart.ts
+++ b/src/core/jobs/JobPart.ts
@@ -9,4 +9,14 @@
   state: PartState;
   /** Whether the part runs on capacity guaranteed to another workspace. */
   borrowed: boolean;
+  /** Monotonic time of the latest change of `state` on this VM. */
+  changedAt: number;
+  /** Epoch time at which the start call was sent, or null; from then on the part may run. */
+  startSentWall: number | null;
+  /** Epoch time since which the part is known to run, or null. */
+  startedWall: number | null;
+  /** Checkpoint taken in this attempt, or null. */
+  checkpoint: string | null;
+  /** For a lost part: monotonic time at which its task lease has certainly expired; null if it is gone. */
+  expiresAt: number | null;
 }
--- /dev/null
+++ b/src/core/jobs/WorkerCapacity.ts
@@ -0,0 +1,6 @@
+/** Accelerators of one worker that a gang may use. */
+export interface WorkerCapacity {
+  workerId: string;
+  rack: string;
+  capacity: number;
+}
--- /dev/null
+++ b/src/core/jobs/addDeadline.ts
@@ -0,0 +1,15 @@
+import type { Job } from './Job.js';
+import type { JobsState } from './JobsState.js';
+
+/** Has a job looked at again at a monotonic time; replaces its earlier deadline. Cost: O(log jobs) comparisons. */
+export const addDeadline = (jobs: JobsState, job: Job, at: number): void => {
+  job.dueAt = at;
+  let low = 0;
+  let high = jobs.deadlines.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if ((jobs.deadlines[middle]?.at ?? Infinity) <= at) low = middle + 1;
+    else high = middle;
+  }
+  jobs.deadlines.splice(low, 0, { at, jobId: job.id });
+};
--- /dev/null
+++ b/src/core/jobs/addPartUse.ts
@@ -0,0 +1,21 @@
+import type { Job } from './Job.js';
+import type { JobPart } from './JobPart.js';
+import type { JobsState } from './JobsState.js';
+
+const addTo = (counts: Map<string, number>, key: string, amount: number): void => {
+  counts.set(key, (counts.get(key) ?? 0) + amount);
+};
+
+/** Enters a part in the indexes of tasks and accelerators in use. */
+export const addPartUse = (jobs: JobsState, job: Job, { taskId, workerId }: JobPart): void => {
+  if (jobs.jobByTask.has(taskId)) return;
+  const accelerators = job.spec.acceleratorsPerTask;
+  const tasks = jobs.tasksByWorker.get(workerId) ?? new Set<string>();
+  const use = jobs.useByWorker.get(workerId) ?? new Map<string, number>();
+  jobs.jobByTask.set(taskId, job.id);
+  jobs.tasksByWorker.set(workerId, tasks.add(taskId));
+  jobs.useByWorker.set(workerId, use);
+  addTo(use, job.workspace, accelerators);
+  addTo(jobs.acceleratorsByWorker, workerId, accelerators);
+  addTo(jobs.useByWorkspace, job.workspace, accelerators);
+};
--- /dev/null
+++ b/src/core/jobs/applyTaskReport.ts
@@ -0,0 +1,76 @@
+import type { Effect } from '../Effect.js';
+import type { TaskReport } from '../ownership/TaskReport.js';
+import type { State } from '../State.js';
+import { closePart } from './closePart.js';
+import type { EventTime } from './EventTime.js';
+import { failGang } from './failGang.js';
+import type { Job } from './Job.js';
+import type { JobPart } from './JobPart.js';
+import { markRunning } from './markRunning.js';
+import type { PartState } from './PartState.js';
+import { resolveLost } from './resolveLost.js';
+import { updatePhase } from './updatePhase.js';
+
+type Applier = (
+  state: State,
+  job: Job,
+  part: JobPart,
+  report: TaskReport,
+  event: EventTime,
+) => Effect[];
+
+const applyRunning: Applier = (state, job, part, report, event) => {
+  if (part.state !== 'assigned' && part.state !== 'prepared') return [];
+  return [...markRunning(job, part, event, report.ranMs), ...updatePhase(state, job, event)];
+};
+
+const applyFinished: Applier = (state, job, part, report, event) => {
+  state.jobs.faultsByWorker.delete(part.workerId);
+  return [
+    ...markRunning(job, part, event, report.ranMs),
+    ...closePart(state, job, part, 'finished', event),
+    ...updatePhase(state, job, event),
+  ];
+};
+
+const applyFailed: Applier = (state, job, part, report, event) => {
+  const blame = report.state === 'failed' ? 'task' : 'none';
+  const workerIds = [part.workerId];
+  const started = part.startSentWall === null ? [] : markRunning(job, part, event, report.ranMs);
+  const ended = closePart(
+    state,
+    job,
+    part,
+    report.state === 'failed' ? 'failed' : 'stopped',
+    event,
+  );
+  return [
+    ...started,
+    ...ended,
+    ...(job.state === 'stopping'
+      ? updatePhase(state, job, event)
+      : failGang(state, job, event, { reason: 'gang-part-lost', blame, workerIds })),
+  ];
+};
+
+const appliers: Partial<Record<PartState, Applier>> = {
+  prepared: (state, job, part, _report, event) => {
+    if (part.state !== 'assigned') return [];
+    part.state = 'prepared';
+    part.changedAt = event.at;
+    return updatePhase(state, job, event);
+  },
+  running: applyRunning,
+  checkpointing: applyRunning,
+  finished: applyFinished,
+  failed: applyFailed,
+  stopped: applyFailed,
+  lost: applyFailed,
+};
+
+/** Applies what a worker reports about a known task. Cost: O(parts of the job) when it changes. */
+export const applyTaskReport: Applier = (state, job, part, report, event) => {
+  const isActive = ['prepared', 'running', 'checkpointing'].includes(report.state);
+  if (part.state === 'lost') return isActive ? [] : resolveLost(state, job, part, event);
+  return appliers[report.state]?.(state, job, part, report, event) ?? [];
+};
--- /dev/null
+++ b/src/core/jobs/cancelJob.ts
@@ -0,0 +1,40 @@
+import { answerCommand } from '../commands/answerCommand.js';
+import type { CommandHandler } from '../commands/CommandHandler.js';
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import { describeJob } from './describeJob.js';
+import { closeJob } from './closeJob.js';
+import type { EventTime } from './EventTime.js';
+import { isDecider } from './isDecider.js';
+import { isJobEnded } from './isJobEnded.js';
+import type { Job } from './Job.js';
+import { scheduleJobs } from './scheduleJobs.js';
+import { stopGang } from './stopGang.js';
+
+const cancel = (state: State, job: Job, event: EventTime): Effect[] => {
+  if (isJobEnded(job)) return [];
+  if (job.state !== 'queued') return stopGang(state, job, event, 'cancel', 'cancelled by caller');
+  // Capacity kept for the job becomes free for others.
+  state.jobs.placementDue = true;
+  return closeJob(state, job, 'cancelled', event);
+};
+
+/** Cancels a job in any phase; an ended job stays as it is. Cost: O(parts + queued jobs). */
+export const cancelJob: CommandHandler<'cancelJob'> = (
+  state,
+  { requestId, from, at, wall, command },
+) => {
+  const job = state.jobs.jobs.get(command.jobId);
+  const reason = job?.workspace !== command.workspace ? 'unknown-job' : 'no-lead';
+  if (job?.workspace !== command.workspace || !isDecider(state, job, at)) {
+    const refusal = { reason, outcome: 'not-run' } as const;
+    return [
+      { type: 'countRefusal', reason },
+      answerCommand(from, requestId, { ok: false, refusal }),
+    ];
+  }
+  const effects = cancel(state, job, { at, wall });
+  const answer = answerCommand(from, requestId, { ok: true, data: describeJob(job) });
+  const placed = state.jobs.placementDue ? scheduleJobs(state, { at, wall }) : [];
+  return [...effects, answer, ...placed];
+};
--- /dev/null
+++ b/src/core/jobs/checkSubmission.ts
@@ -0,0 +1,45 @@
+import type { Refusal } from '../Refusal.js';
+import type { State } from '../State.js';
+import { findWorkspace } from './findWorkspace.js';
+import type { JobSpec } from './JobSpec.js';
+import { placeGang } from './placeGang.js';
+
+const refuse = (reason: Refusal['reason'], detail: string): Refusal => ({
+  reason,
+  outcome: 'not-run',
+  detail,
+});
+
+const isCount = (value: number): boolean => Number.isInteger(value) && value > 0;
+
+/**
+ * Checks whether a job could ever run in this zone; returns the refusal, or null. A drained worker
+ * counts, because it may come back. Cost: O(workers log workers).
+ */
+export const checkSubmission = (
+  state: State,
+  workspace: string,
+  zone: string,
+  spec: JobSpec,
+): Refusal | null => {
+  const settings = findWorkspace(state, workspace);
+  if (!settings) return refuse('unknown-workspace', workspace);
+  if (zone !== state.self.zone) return refuse('no-lead', `not a scheduler of zone ${zone}`);
+  if (!isCount(spec.tasks) || !isCount(spec.acceleratorsPerTask)) {
+    return refuse('bad-request', 'tasks and acceleratorsPerTask must be positive integers');
+  }
+  const workers = Object.entries(state.settings.inForce?.tree.zones[zone]?.workers ?? {});
+  const capacities = workers.map(([workerId, { rack, accelerators, slots }]) => ({
+    workerId,
+    rack,
+    capacity: Math.min(accelerators, slots),
+  }));
+  const shape = `${spec.tasks} parts of ${spec.acceleratorsPerTask} accelerators in one ${spec.adjacency}`;
+  if (!placeGang(capacities, spec)) {
+    return refuse('impossible-shape', `${shape} exceed every ${spec.adjacency} of the zone`);
+  }
+  if (spec.tasks * spec.acceleratorsPerTask > settings.maxAccelerators) {
+    return refuse('quota-exceeded', `${shape} exceed the quota of ${settings.maxAccelerators}`);
+  }
+  return null;
+};
--- /dev/null
+++ b/src/core/jobs/choosePlacement.ts
@@ -0,0 +1,72 @@
+import type { State } from '../State.js';
+import type { CapacityTier } from './CapacityTier.js';
+import { estimateCapacity } from './estimateCapacity.js';
+import { hasPrecedence } from './hasPrecedence.js';
+import type { Job } from './Job.js';
+import { listCapacities } from './listCapacities.js';
+import { listTiers } from './listTiers.js';
+import { measureHeldBack } from './measureHeldBack.js';
+import type { PartPlace } from './PartPlace.js';
+import { placeGang } from './placeGang.js';
+import type { WorkerCapacity } from './WorkerCapacity.js';
+import type { WorkerView } from './WorkerView.js';
+
+type Views = ReadonlyMap<string, WorkerView>;
+
+const isSpareEnough = (state: State, views: Views, job: Job): boolean => {
+  const heldBack = measureHeldBack(state, job.workspace);
+  if (heldBack === 0) return true;
+  const free = listCapacities(views, job.workspace, 'lent');
+  const total = free.reduce((sum, worker) => sum + worker.capacity, 0);
+  return total - job.spec.tasks * job.spec.acceleratorsPerTask >= heldBack;
+};
+
+const listAllowed = (
+  state: State,
+  views: Views,
+  job: Job,
+  tier: CapacityTier,
+  at: number,
+): WorkerCapacity[] => {
+  const capacities = listCapacities(views, job.workspace, tier);
+  if (tier === 'own') return capacities;
+  if (!isSpareEnough(state, views, job)) return [];
+  const { reservation } = state.jobs;
+  if (!reservation || hasPrecedence(state, job, at)) return capacities;
+  return capacities.filter(({ workerId }) => !reservation.workers.has(workerId));
+};
+
+const placeAvoidingFailed = (workers: WorkerCapacity[], job: Job): string[] | null => {
+  const failed = new Set(job.failedSets.flatMap((set) => set.split(',')));
+  const fresh = workers.filter(({ workerId }) => !failed.has(workerId));
+  return placeGang(fresh, job.spec) ?? (failed.size > 0 ? placeGang(workers, job.spec) : null);
+};
+
+const markBorrowed = (views: Views, job: Job, workerIds: string[]): PartPlace[] => {
+  const placed = new Map<string, number>();
+  return workerIds.map((workerId) => {
+    const view = views.get(workerId);
+    const used = (placed.get(workerId) ?? 0) + job.spec.acceleratorsPerTask;
+    placed.set(workerId, used);
+    const unborrowed = view ? estimateCapacity(view, job.workspace, 'unassigned') : 0;
+    return { workerId, borrowed: used > unborrowed };
+  });
+};
+
+/**
+ * Chooses workers for a queued job: own cells first, then unassigned capacity, then lent cells.
+ * Outside its own cells a job respects the reservation and the capacity kept for unplaced
+ * guarantees. Null when it does not fit. Cost: O(workers log workers).
+ */
+export const choosePlacement = (
+  state: State,
+  views: Views,
+  job: Job,
+  at: number,
+): PartPlace[] | null => {
+  for (const tier of listTiers(job)) {
+    const placement = placeAvoidingFailed(listAllowed(state, views, job, tier, at), job);
+    if (placement) return markBorrowed(views, job, placement);
+  }
+  return null;
+};
--- /dev/null
+++ b/src/core/jobs/closeJob.ts
@@ -0,0 +1,20 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import type { EventTime } from './EventTime.js';
+import type { Job } from './Job.js';
+import { removeFromQueue } from './removeFromQueue.js';
+import { setJobState } from './setJobState.js';
+
+/** Brings a job without running parts to its final state. Cost: O(queued jobs). */
+export const closeJob = (
+  state: State,
+  job: Job,
+  end: 'finished' | 'failed' | 'cancelled',
+  { at, wall }: EventTime,
+): Effect[] => {
+  removeFromQueue(state.jobs, job.id);
+  setJobState(state, job, end, at);
+  job.endedWall = wall;
+  const record = { kind: 'jobEnded', id: `${job.id}/jobEnded`, jobId: job.id, state: end } as const;
+  return [{ type: 'emit', event: { type: 'usageNoted', records: [record] } }];
+};
--- /dev/null
+++ b/src/core/jobs/compareReport.ts
@@ -0,0 +1,94 @@
+import type { Effect } from '../Effect.js';
+import type { TaskReport } from '../ownership/TaskReport.js';
+import type { WorkerReport } from '../ownership/WorkerReport.js';
+import type { State } from '../State.js';
+import { adoptTask } from './adoptTask.js';
+import { applyTaskReport } from './applyTaskReport.js';
+import { closePart } from './closePart.js';
+import type { EventTime } from './EventTime.js';
+import { failGang } from './failGang.js';
+import { findPart } from './findPart.js';
+import type { Job } from './Job.js';
+import type { JobPart } from './JobPart.js';
+import { markLost } from './markLost.js';
+import { retryCall } from './retryCall.js';
+import { resolveLost } from './resolveLost.js';
+import { updatePhase } from './updatePhase.js';
+
+const isActive = ({ state }: TaskReport): boolean =>
+  state === 'prepared' || state === 'running' || state === 'checkpointing';
+
+const stopStray = (state: State, workerId: string, taskId: string): Effect[] => {
+  const url = state.settings.inForce?.tree.zones[state.self.zone]?.workers[workerId]?.url;
+  if (url === undefined) return [];
+  return [{ type: 'callWorker', workerId, url, call: { kind: 'stopTask', taskId } }];
+};
+
+const applyReported = (
+  state: State,
+  workerId: string,
+  report: TaskReport,
+  event: EventTime,
+): Effect[] => {
+  const adopted =
+    !state.jobs.jobByTask.has(report.taskId) && isActive(report)
+      ? adoptTask(state, workerId, report, event)
+      : [];
+  if (adopted === null) return stopStray(state, workerId, report.taskId);
+  const found = findPart(state.jobs, report.taskId);
+  if (!found) return adopted;
+  return [...adopted, ...applyTaskReport(state, found.job, found.part, report, event)];
+};
+
+const applyMissing = (state: State, job: Job, part: JobPart, event: EventTime): Effect[] => {
+  if (part.state === 'lost') return resolveLost(state, job, part, event);
+  if (job.state === 'stopping') {
+    return [...closePart(state, job, part, 'stopped', event), ...updatePhase(state, job, event)];
+  }
+  const fault = { reason: 'gang-part-lost', blame: 'none', workerIds: [] } as const;
+  return [
+    ...markLost(state, job, part, event, true),
+    ...failGang(state, job, event, { ...fault, workerIds: [] }),
+  ];
+};
+
+const compareMissing = (
+  state: State,
+  taskId: string,
+  event: EventTime,
+  sentAt: number,
+): Effect[] => {
+  const found = findPart(state.jobs, taskId);
+  if (!found) return [];
+  const { job, part } = found;
+  // A report to a call sent before the part's latest change may not contain the part yet.
+  const isStale = part.state === 'assigned' || part.changedAt >= sentAt;
+  return isStale ? retryCall(state, job, part, event.at) : applyMissing(state, job, part, event);
+};
+
+/**
+ * Compares the tasks that a worker reports with the known ones: adopts unknown tasks, stops tasks
+ * of ended attempts, and repeats calls that were not answered. `sentAt` is the send time of the
+ * call that the report answers. Cost: O(tasks of the worker × parts of their gangs).
+ */
+export const compareReport = (
+  state: State,
+  workerId: string,
+  report: WorkerReport,
+  event: EventTime,
+  sentAt: number,
+): Effect[] => {
+  const reported = new Set(report.tasks.map((task) => task.taskId));
+  const missing = [...(state.jobs.tasksByWorker.get(workerId) ?? [])].filter(
+    (taskId) => !reported.has(taskId),
+  );
+  const effects = [
+    ...report.tasks.flatMap((task) => applyReported(state, workerId, task, event)),
+    ...missing.flatMap((taskId) => compareMissing(state, taskId, event, sentAt)),
+  ];
+  const repeats = report.tasks.filter(isActive).flatMap((task) => {
+    const found = findPart(state.jobs, task.taskId);
+    return found ? retryCall(state, found.job, found.part, event.at) : [];
+  });
+  return [...effects, ...repeats];
+};
--- /dev/null
+++ b/src/core/jobs/createJob.ts
@@ -0,0 +1,17 @@
+import type { Job } from './Job.js';
+
+/** Creates a job that has never been started. */
+export const createJob = (
+  fields: Pick<Job, 'id' | 'workspace' | 'zone' | 'spec' | 'submittedWall' | 'phaseAt'>,
+): Job => ({
+  ...fields,
+  specKnown: true,
+  state: 'queued',
+  attempt: 0,
+  parts: [],
+  dueAt: null,
+  ranMs: 0,
+  failedSets: [],
+  failures: 0,
+  notBefore: -Infinity,
+});
--- /dev/null
+++ b/src/core/jobs/drainGang.ts
@@ -0,0 +1,28 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import { addDeadline } from './addDeadline.js';
+import { callPart } from './callPart.js';
+import type { EventTime } from './EventTime.js';
+import type { Job } from './Job.js';
+import { setJobState } from './setJobState.js';
+import { stopGang } from './stopGang.js';
+
+/**
+ * Has a gang leave its workers: after a checkpoint if it runs, at once if it is only starting.
+ * Cost: O(parts of the job).
+ */
+export const drainGang = (state: State, job: Job, event: EventTime, reason: string): Effect[] => {
+  if (job.state === 'checkpointing' || job.state === 'stopping') return [];
+  if (job.state !== 'running') return stopGang(state, job, event, 'requeue', reason);
+  setJobState(state, job, 'checkpointing', event.at);
+  addDeadline(state.jobs, job, event.at + state.timing.checkpointMs);
+  job.reason = reason;
+  return job.parts
+    .filter((part) => part.state === 'running')
+    .flatMap((part) => {
+      part.state = 'checkpointing';
+      part.changedAt = event.at;
+      part.checkpoint = null;
+      return callPart(state, job, part, 'checkpointTask', event.at);
+    });
+};
--- /dev/null
+++ b/src/core/jobs/explainJob.ts
@@ -0,0 +1,70 @@
+import type { State } from '../State.js';
+import { buildWorkerViews } from './buildWorkerViews.js';
+import { findWorkspace } from './findWorkspace.js';
+import { isOverQuota } from './isOverQuota.js';
+import type { Job } from './Job.js';
+import type { JobState } from './JobState.js';
+import { listCapacities } from './listCapacities.js';
+import { listTiers } from './listTiers.js';
+import { listWaiting } from './listWaiting.js';
+import { measureShare } from './measureShare.js';
+import { measureUse } from './measureUse.js';
+
+const explainShare = (state: State, job: Job, at: number): string => {
+  const ahead = (listWaiting(state, at).get(job.workspace) ?? []).findIndex(
+    (other) => other.id === job.id,
+  );
+  const share = measureShare(state, job.workspace).toFixed(1);
+  const use = measureUse(state.jobs, job.workspace);
+  const order = `${Math.max(0, ahead)} of its jobs are ahead`;
+  return `Workspace ${job.workspace} uses ${use} accelerators (${share} per unit of weight); ${order}.`;
+};
+
+const explainPlacement = (state: State, job: Job, at: number): string => {
+  const { tasks, acceleratorsPerTask: size, adjacency } = job.spec;
+  const views = buildWorkerViews(state, at);
+  const counts = listTiers(job).map((tier) => {
+    const capacities = listCapacities(views, job.workspace, tier);
+    const parts = capacities.reduce((sum, { capacity }) => sum + Math.floor(capacity / size), 0);
+    return `${tier} ${parts}`;
+  });
+  const { reservation } = state.jobs;
+  const holder =
+    reservation && reservation.jobId !== job.id
+      ? ` Job ${reservation.jobId} holds a reservation on ${reservation.workers.size} workers.`
+      : '';
+  return (
+    `Needs ${tasks} parts of ${size} accelerators in one ${adjacency}; ` +
+    `parts that fit anywhere, by capacity allowed: ${counts.join(', ')}.${holder}`
+  );
+};
+
+const explainQueued = (state: State, job: Job, at: number): string => {
+  if (job.notBefore > at) {
+    return `Waits ${job.notBefore - at} ms after ${job.failures} failed starts (${job.reason ?? ''}).`;
+  }
+  const hold = state.jobs.holds.get(job.id);
+  if (hold) {
+    const count = new Set(hold.workers).size;
+    return `Reclaims its guarantee on ${count} workers since ${at - hold.at} ms.`;
+  }
+  if (isOverQuota(state, job)) {
+    const quota = findWorkspace(state, job.workspace)?.maxAccelerators ?? 0;
+    const use = measureUse(state.jobs, job.workspace);
+    const need = job.spec.tasks * job.spec.acceleratorsPerTask;
+    return `Needs ${need} accelerators; the workspace uses ${use} of its quota of ${quota}.`;
+  }
+  return `${explainPlacement(state, job, at)} ${explainShare(state, job, at)}`;
+};
+
+const explainOther = (_state: State, job: Job): string =>
+  job.reason === undefined ? `Is ${job.state}.` : `Is ${job.state}: ${job.reason}.`;
+
+const explainers: Partial<Record<JobState, typeof explainQueued>> = { queued: explainQueued };
+
+/**
+ * Explains why a job waits, in terms of placement and shares, or why it was stopped.
+ * Cost: O(workers + queued jobs log queued jobs).
+ */
+export const explainJob = (state: State, job: Job, at: number): string =>
+  (explainers[job.state] ?? explainOther)(state, job, at);
--- /dev/null
+++ b/src/core/jobs/findPart.ts
@@ -0,0 +1,10 @@
+import type { Job } from './Job.js';
+import type { JobPart } from './JobPart.js';
+import type { JobsState } from './JobsState.js';
+
+/** Finds a task that occupies a worker, with its job. Cost: O(parts of the job). */
+export const findPart = (jobs: JobsState, taskId: string): { job: Job; part: JobPart } | null => {
+  const job = jobs.jobs.get(jobs.jobByTask.get(taskId) ?? '');
+  const part = job?.parts.find((candidate) => candidate.taskId === taskId);
+  return job && part ? { job, part } : null;
+};
--- /dev/null
+++ b/src/core/jobs/handleTaskAnswered.ts
@@ -0,0 +1,58 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { closePart } from './closePart.js';
+import { failGang } from './failGang.js';
+import { findPart } from './findPart.js';
+import type { Job } from './Job.js';
+import type { JobPart } from './JobPart.js';
+import { markRunning } from './markRunning.js';
+import { resolveLost } from './resolveLost.js';
+import { updatePhase } from './updatePhase.js';
+
+type Answer = EventOf<'taskAnswered'>;
+type Answerer = (state: State, job: Job, part: JobPart, event: Answer) => Effect[];
+
+const refuseStart = (state: State, job: Job, part: JobPart, event: Answer): Effect[] =>
+  failGang(state, job, event, {
+    reason: 'gang-part-refused',
+    blame: 'task',
+    workerIds: [part.workerId],
+  });
+
+const answerers: Record<Answer['call'], Answerer> = {
+  prepareTask: (state, job, part, event) => {
+    if (job.state !== 'preparing' || part.state !== 'assigned') return [];
+    if (!event.accepted) return refuseStart(state, job, part, event);
+    part.state = 'prepared';
+    part.changedAt = event.at;
+    return updatePhase(state, job, event);
+  },
+  startTask: (state, job, part, event) => {
+    if (part.state !== 'prepared') return [];
+    if (event.accepted) {
+      return [...markRunning(job, part, event), ...updatePhase(state, job, event)];
+    }
+    return job.state === 'starting' ? refuseStart(state, job, part, event) : [];
+  },
+  checkpointTask: (state, job, part, event) => {
+    if (part.state !== 'checkpointing') return [];
+    part.state = 'running';
+    part.changedAt = event.at;
+    part.checkpoint = (event.accepted && event.checkpoint) || null;
+    return updatePhase(state, job, event);
+  },
+  // A refused stop means that the worker does not know the task, so it does not run there either.
+  stopTask: (state, job, part, event) => {
+    if (job.state !== 'stopping') return [];
+    if (part.state === 'lost') return resolveLost(state, job, part, event);
+    return [...closePart(state, job, part, 'stopped', event), ...updatePhase(state, job, event)];
+  },
+};
+
+/** Decides on a worker's answer to a task call. Cost: O(parts of the job). */
+export const handleTaskAnswered = (state: State, event: Answer): Effect[] => {
+  const found = findPart(state.jobs, event.taskId);
+  if (!found) return [{ type: 'count', name: 'late_answer_dropped' }];
+  return answerers[event.call](state, found.job, found.part, event);
+};
--- /dev/null
+++ b/src/core/jobs/listCapacities.ts
@@ -0,0 +1,16 @@
+import type { CapacityTier } from './CapacityTier.js';
+import { estimateCapacity } from './estimateCapacity.js';
+import type { WorkerCapacity } from './WorkerCapacity.js';
+import type { WorkerView } from './WorkerView.js';
+
+/** Lists what a workspace may use of each worker in a tier. Cost: O(workers). */
+export const listCapacities = (
+  views: ReadonlyMap<string, WorkerView>,
+  workspace: string,
+  tier: CapacityTier,
+): WorkerCapacity[] =>
+  [...views.values()].map((view) => ({
+    workerId: view.workerId,
+    rack: view.rack,
+    capacity: estimateCapacity(view, workspace, tier),
+  }));
--- /dev/null
+++ b/src/core/jobs/markLost.ts
@@ -0,0 +1,33 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import type { EventTime } from './EventTime.js';
+import type { Job } from './Job.js';
+import type { JobPart } from './JobPart.js';
+import { recordUse } from './recordUse.js';
+import { removePartUse } from './removePartUse.js';
+
+/**
+ * Marks a part as lost. `gone` says that its task certainly ended; otherwise it may run on until
+ * its lease expires, and it keeps its accelerators until then. Use since the worker's last answer
+ * is unknown.
+ */
+export const markLost = (
+  state: State,
+  job: Job,
+  part: JobPart,
+  { at, wall }: EventTime,
+  gone: boolean,
+): Effect[] => {
+  const { taskLeaseMs, workerCallTimeoutMs } = state.timing;
+  // A renewal sent just before the loss can still arrive within the call's timeout.
+  part.expiresAt = gone ? null : at + taskLeaseMs + workerCallTimeoutMs;
+  part.state = 'lost';
+  part.changedAt = at;
+  if (gone) removePartUse(state.jobs, job, part);
+  if (part.startSentWall === null && part.startedWall === null) return [];
+  const heardAt = state.jobs.heardByWorker.get(part.workerId) ?? at;
+  const heardWall = wall - (at - heardAt);
+  const fromWall = Math.max(heardWall, part.startedWall ?? part.startSentWall ?? heardWall);
+  const toWall = gone ? wall : wall + (part.expiresAt ?? at) - at;
+  return [recordUse(job, part, { kind: 'taskUnknown', fromWall, toWall })];
+};
--- /dev/null
+++ b/src/core/jobs/markRunning.ts
@@ -0,0 +1,21 @@
+import type { Effect } from '../Effect.js';
+import type { EventTime } from './EventTime.js';
+import type { Job } from './Job.js';
+import type { JobPart } from './JobPart.js';
+import { recordUse } from './recordUse.js';
+
+/** Marks a part as running since `ranMs` ago. */
+export const markRunning = (
+  job: Job,
+  part: JobPart,
+  { at, wall }: EventTime,
+  ranMs = 0,
+): Effect[] => {
+  if (part.state !== 'checkpointing') {
+    part.state = 'running';
+    part.changedAt = at;
+  }
+  if (part.startedWall !== null) return [];
+  part.startedWall = wall - ranMs;
+  return [recordUse(job, part, { kind: 'taskStarted', wall: part.startedWall })];
+};
--- /dev/null
+++ b/src/core/jobs/planReservation.ts
@@ -0,0 +1,75 @@
+import type { State } from '../State.js';
+import { estimateCapacity } from './estimateCapacity.js';
+import { estimateRunMs } from './estimateRunMs.js';
+import type { Job } from './Job.js';
+import { listTiers } from './listTiers.js';
+import { placeGang } from './placeGang.js';
+import type { Reservation } from './Reservation.js';
+import type { WorkerView } from './WorkerView.js';
+
+type Views = ReadonlyMap<string, WorkerView>;
+
+const listRunning = (state: State): Job[] =>
+  [...new Set(state.jobs.jobByTask.values())].flatMap((id) => state.jobs.jobs.get(id) ?? []);
+
+const removeJobs = (views: Views, gone: Job[]): Map<string, WorkerView> => {
+  const left = new Map([...views].map(([id, view]) => [id, { ...view, requests: 0 }]));
+  gone.forEach((job) => {
+    job.parts.forEach(({ workerId }) => {
+      const view = left.get(workerId);
+      if (!view) return;
+      const usedBy = new Map(view.usedBy);
+      const accelerators = job.spec.acceleratorsPerTask;
+      usedBy.set(job.workspace, Math.max(0, (usedBy.get(job.workspace) ?? 0) - accelerators));
+      left.set(workerId, { ...view, usedBy, used: Math.max(0, view.used - accelerators) });
+    });
+  });
+  return left;
+};
+
+const placeIn = (views: Views, job: Job): string[] | null => {
+  const tier = listTiers(job).at(-1) ?? 'own';
+  const capacities = [...views.values()].map((view) => ({
+    workerId: view.workerId,
+    rack: view.rack,
+    capacity: estimateCapacity(view, job.workspace, tier),
+  }));
+  return placeGang(capacities, job.spec);
+};
+
+/**
+ * Finds the workers that will be free first for a gang that does not fit now, and when; null when
+ * it would not fit even on idle workers. Computed only when the reservation changes hands.
+ * Cost: O(running tasks + workers log workers × log running jobs).
+ */
+export const planReservation = (
+  state: State,
+  views: Views,
+  job: Job,
+  at: number,
+): Reservation | null => {
+  const running = listRunning(state)
+    .map((gang) => ({ gang, endAt: at + estimateRunMs(state.jobs, gang, at) }))
+    .sort((a, b) => a.endAt - b.endAt);
+  const placeAfter = (count: number): string[] | null =>
+    placeIn(
+      removeJobs(
+        views,
+        running.slice(0, count).map(({ gang }) => gang),
+      ),
+      job,
+    );
+  let low = 0;
+  let high = running.length;
+  if (!placeAfter(high)) return null;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (placeAfter(middle)) high = middle;
+    else low = middle + 1;
+  }
+  return {
+    jobId: job.id,
+    workers: new Set(placeAfter(low)),
+    expectedAt: running[low - 1]?.endAt ?? at,
+  };
+};
--- /dev/null
+++ b/src/core/jobs/queueJob.ts
@@ -0,0 +1,25 @@
+import type { State } from '../State.js';
+import { addDeadline } from './addDeadline.js';
+import type { Job } from './Job.js';
+import { setJobState } from './setJobState.js';
+
+// A failed job waits before its next start, so that it does not keep a worker busy with failures.
+const firstBackoffMs = 1000;
+const maxBackoffMs = 30_000;
+
+/** Puts a job back into the queue, in order of submission. Cost: O(queued jobs). */
+export const queueJob = (state: State, job: Job, at: number): void => {
+  const { jobs } = state;
+  setJobState(state, job, 'queued', at);
+  jobs.placementDue = true;
+  delete job.afterStop;
+  job.parts = [];
+  const backoffMs =
+    job.failures === 0 ? 0 : Math.min(maxBackoffMs, firstBackoffMs * 2 ** (job.failures - 1));
+  job.notBefore = at + backoffMs;
+  if (backoffMs > 0) addDeadline(jobs, job, job.notBefore);
+  const later = jobs.queue.findIndex(
+    (id) => (jobs.jobs.get(id)?.submittedWall ?? Infinity) > job.submittedWall,
+  );
+  jobs.queue.splice(later === -1 ? jobs.queue.length : later, 0, job.id);
+};
--- /dev/null
+++ b/src/core/jobs/reclaimCells.ts
@@ -0,0 +1,46 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import { addDeadline } from './addDeadline.js';
+import { drainGang } from './drainGang.js';
+import { chooseBorrowers } from './chooseBorrowers.js';
+import type { EventTime } from './EventTime.js';
+import type { Job } from './Job.js';
+import { listCapacities } from './listCapacities.js';
+import { placeGang } from './placeGang.js';
+import { requestWaitMs } from './requestWaitMs.js';
+import type { WorkerView } from './WorkerView.js';
+
+/**
+ * Has the borrowers leave the cells of a queued job's workspace and keeps the cells for the job;
+ * null when the job does not fit the cells. Cost: O(workers log workers + tasks of the chosen
+ * workers × parts of their gangs).
+ */
+export const reclaimCells = (
+  state: State,
+  views: ReadonlyMap<string, WorkerView>,
+  job: Job,
+  event: EventTime,
+): Effect[] | null => {
+  const workers = placeGang(listCapacities(views, job.workspace, 'reclaimable'), job.spec);
+  if (!workers) return null;
+  const { acceleratorsPerTask } = job.spec;
+  const borrowers = new Set<Job>();
+  new Set(workers).forEach((workerId) => {
+    const view = views.get(workerId);
+    const needed = workers.filter((id) => id === workerId).length * acceleratorsPerTask;
+    if (view) chooseBorrowers(state, view, needed).forEach((gang) => borrowers.add(gang));
+  });
+  state.jobs.holds.set(job.id, {
+    workspace: job.workspace,
+    workers,
+    acceleratorsPerTask,
+    at: event.at,
+  });
+  addDeadline(state.jobs, job, event.at + requestWaitMs);
+  return [
+    { type: 'count', name: 'reclaim_started' },
+    ...[...borrowers].flatMap((gang) =>
+      drainGang(state, gang, event, `reclaimed by workspace ${job.workspace}`),
+    ),
+  ];
+};
--- /dev/null
+++ b/src/core/jobs/setJobState.ts
@@ -0,0 +1,12 @@
+import type { State } from '../State.js';
+import type { Job } from './Job.js';
+import type { JobState } from './JobState.js';
+
+/** Moves a job to a phase and marks it for replication. */
+export const setJobState = (state: State, job: Job, next: JobState, at: number): void => {
+  if (job.state === 'running' || job.state === 'checkpointing') job.ranMs += at - job.phaseAt;
+  job.state = next;
+  job.phaseAt = at;
+  job.dueAt = null;
+  state.replication.changedJobs.add(job.id);
+};
--- /dev/null
+++ b/src/core/jobs/startGang.ts
@@ -0,0 +1,39 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import { addDeadline } from './addDeadline.js';
+import { addPartUse } from './addPartUse.js';
+import { callPart } from './callPart.js';
+import type { EventTime } from './EventTime.js';
+import type { Job } from './Job.js';
+import type { PartPlace } from './PartPlace.js';
+import { removeFromQueue } from './removeFromQueue.js';
+import { setJobState } from './setJobState.js';
+
+/** Begins a new attempt of a queued job by preparing its parts. Cost: O(parts + queued jobs). */
+export const startGang = (
+  state: State,
+  job: Job,
+  places: PartPlace[],
+  { at }: EventTime,
+): Effect[] => {
+  removeFromQueue(state.jobs, job.id);
+  setJobState(state, job, 'preparing', at);
+  addDeadline(state.jobs, job, at + state.timing.gangStartMs);
+  job.attempt += 1;
+  delete job.reason;
+  job.parts = places.map((place, index) => ({
+    ...place,
+    index,
+    taskId: `${job.id}.${job.attempt}.${index}`,
+    state: 'assigned',
+    changedAt: at,
+    startSentWall: null,
+    startedWall: null,
+    checkpoint: null,
+    expiresAt: null,
+  }));
+  return job.parts.flatMap((part) => {
+    addPartUse(state.jobs, job, part);
+    return callPart(state, job, part, 'prepareTask', at);
+  });
+};
--- /dev/null
+++ b/src/core/jobs/startHeldGangs.ts
@@ -0,0 +1,41 @@
+import type { Effect } from '../Effect.js';
+import { isHeld } from '../ownership/isHeld.js';
+import type { State } from '../State.js';
+import type { EventTime } from './EventTime.js';
+import type { GangHold } from './GangHold.js';
+import { requestWaitMs } from './requestWaitMs.js';
+import { startGang } from './startGang.js';
+
+const isFree = (state: State, hold: GangHold, workerId: string, at: number): boolean => {
+  const worker = state.settings.inForce?.tree.zones[state.self.zone]?.workers[workerId];
+  if (!worker) return false;
+  const needed = hold.workers.filter((id) => id === workerId).length * hold.acceleratorsPerTask;
+  const used = (state.jobs.acceleratorsByWorker.get(workerId) ?? 0) + needed;
+  const isWaiting = at < hold.at + requestWaitMs;
+  const requests = isWaiting ? (state.routing.loads.get(workerId)?.grants.size ?? 0) : 0;
+  return used <= worker.accelerators && used + requests <= worker.slots;
+};
+
+const isUsable = (state: State, workerId: string, at: number): boolean =>
+  isHeld(state, workerId, at) &&
+  !state.ownership.leases.get(workerId)?.leaving &&
+  !state.settings.inForce?.tree.zones[state.self.zone]?.workers[workerId]?.drained;
+
+/**
+ * Starts the gangs whose reclaimed capacity has become free; a gang that lost a worker is placed
+ * again. Cost: O(parts of the reclaiming jobs).
+ */
+export const startHeldGangs = (state: State, event: EventTime): Effect[] => {
+  const effects: Effect[] = [];
+  state.jobs.holds.forEach((hold, jobId) => {
+    const job = state.jobs.jobs.get(jobId);
+    const workers = [...new Set(hold.workers)];
+    if (!job || !workers.every((id) => isUsable(state, id, event.at))) {
+      state.jobs.holds.delete(jobId);
+    } else if (workers.every((id) => isFree(state, hold, id, event.at))) {
+      const places = hold.workers.map((workerId) => ({ workerId, borrowed: false }));
+      effects.push(...startGang(state, job, places, event));
+    }
+  });
+  return effects;
+};
--- /dev/null
+++ b/src/core/jobs/startParts.ts
@@ -0,0 +1,25 @@
+import type { Effect } from '../Effect.js';
+import { isHeld } from '../ownership/isHeld.js';
+import type { State } from '../State.js';
+import { addDeadline } from './addDeadline.js';
+import { callPart } from './callPart.js';
+import type { EventTime } from './EventTime.js';
+import type { Job } from './Job.js';
+import { setJobState } from './setJobState.js';
+
+/**
+ * Starts the prepared parts of a gang, if this scheduler may act on the workers of all parts;
+ * otherwise the gang's deadline stops it. Cost: O(parts of the job).
+ */
+export const startParts = (state: State, job: Job, { at, wall }: EventTime): Effect[] => {
+  if (!job.parts.every((part) => isHeld(state, part.workerId, at))) return [];
+  setJobState(state, job, 'starting', at);
+  addDeadline(state.jobs, job, at + state.timing.gangStartMs);
+  job.startedWall = wall;
+  return job.parts
+    .filter((part) => part.state === 'prepared')
+    .flatMap((part) => {
+      part.startSentWall = wall;
+      return callPart(state, job, part, 'startTask', at);
+    });
+};
--- /dev/null
+++ b/src/core/jobs/stopGang.ts
@@ -0,0 +1,50 @@
+import type { Effect } from '../Effect.js';
+import { isHeld } from '../ownership/isHeld.js';
+import type { State } from '../State.js';
+import { addDeadline } from './addDeadline.js';
+import { callPart } from './callPart.js';
+import type { EventTime } from './EventTime.js';
+import { finishStop } from './finishStop.js';
+import { isPartEnded } from './isPartEnded.js';
+import type { Job } from './Job.js';
+import type { JobPart } from './JobPart.js';
+import { markLost } from './markLost.js';
+import { setJobState } from './setJobState.js';
+
+const rank = { requeue: 0, fail: 1, cancel: 2 } as const;
+
+const stopPart = (state: State, job: Job, part: JobPart, event: EventTime): Effect[] => {
+  if (part.state === 'lost' || isPartEnded(part, event.at)) return [];
+  return isHeld(state, part.workerId, event.at)
+    ? callPart(state, job, part, 'stopTask', event.at)
+    : markLost(state, job, part, event, false);
+};
+
+/**
+ * Stops every part of a gang; `afterStop` says what becomes of the job, and the most final of
+ * several wins. Cost: O(parts of the job).
+ */
+export const stopGang = (
+  state: State,
+  job: Job,
+  event: EventTime,
+  afterStop: 'requeue' | 'cancel' | 'fail',
+  reason: string,
+): Effect[] => {
+  const next = afterStop === 'requeue' && !job.specKnown ? 'fail' : afterStop;
+  if (job.afterStop === undefined || rank[next] > rank[job.afterStop]) {
+    job.afterStop = next;
+    job.reason = reason;
+    state.replication.changedJobs.add(job.id);
+  }
+  if (job.state === 'stopping') return [];
+  setJobState(state, job, 'stopping', event.at);
+  addDeadline(state.jobs, job, event.at + state.timing.renewEveryMs);
+  const stops = job.parts.flatMap((part) => stopPart(state, job, part, event));
+  const isOver = job.parts.every((part) => isPartEnded(part, event.at));
+  return [
+    { type: 'count', name: 'gang_stopped' },
+    ...stops,
+    ...(isOver ? finishStop(state, job, event) : []),
+  ];
+};
--- /dev/null
+++ b/src/core/jobs/withPlacement.ts
@@ -0,0 +1,12 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import type { EventTime } from './EventTime.js';
+import { scheduleJobs } from './scheduleJobs.js';
+
+/** Has a handler followed by a placement pass if the queue or the free capacity changed. */
+export const withPlacement =
+  <E extends EventTime>(handler: (state: State, event: E) => Effect[]) =>
+  (state: State, event: E): Effect[] => {
+    const effects = handler(state, event);
+    return state.jobs.placementDue ? [...effects, ...scheduleJobs(state, event)] : effects;
+  };
--- /dev/null
+++ b/test/core/jobs/placement.test.ts
@@ -0,0 +1,170 @@
+import { expect, test } from '@jest/globals';
+import { explainJob } from '../../../src/core/jobs/explainJob.js';
+import { placeGang } from '../../../src/core/jobs/placeGang.js';
+import type { State } from '../../../src/core/State.js';
+import { createZone } from '../../fixtures/createZone.js';
+import { jobEvents } from '../../fixtures/jobEvents.js';
+
+const { submit, cancel, listCalls, answer, describeTask, renew, tick, lose, send } = jobEvents;
+
+const guarantee = { zone: 'z', workers: 1, acceleratorsPerWorker: 4, adjacency: 'worker' } as const;
+const stateOf = (state: State, id: string): string | undefined => state.jobs.jobs.get(id)?.state;
+const refusals = (effects: ReturnType<typeof submit>): string[] =>
+  effects.flatMap((effect) => (effect.type === 'countRefusal' ? [effect.reason] : []));
+
+// Guards against queueing a job that can never run, and against refusing one that can.
+test('impossible submissions are refused', () => {
+  const state = createZone([4, 4], { a: { maxAccelerators: 6 } });
+  const spec = { tasks: 2, acceleratorsPerTask: 4 };
+  expect(refusals(submit(state, 0, 'j', 'b'))).toEqual(['unknown-workspace']);
+  expect(refusals(submit(state, 0, 'j', 'a', { acceleratorsPerTask: 5 }))).toEqual([
+    'impossible-shape',
+  ]);
+  expect(refusals(submit(state, 0, 'j', 'a', { ...spec, adjacency: 'worker' }))).toEqual([
+    'impossible-shape',
+  ]);
+  expect(refusals(submit(state, 0, 'j', 'a', spec))).toEqual(['quota-exceeded']);
+  expect(refusals(submit(state, 0, 'j', 'a', { ...spec, tasks: 1 }))).toEqual([]);
+});
+
+// Guards against a repeated submission that runs a job twice.
+test('same job id again', () => {
+  const state = createZone([4], { a: {} });
+  submit(state, 0, 'j', 'a');
+  const again = submit(state, 1, 'j', 'a');
+  expect(listCalls(again)).toEqual([]);
+  expect(again).toMatchObject([{ message: { result: { ok: true, data: { id: 'j' } } } }]);
+  expect([...state.replication.changedJobs]).toEqual(['j']);
+});
+
+// Guards against breaking up whole workers and racks for work that fits into a fragment.
+test('best fit', () => {
+  const workers = [
+    { workerId: 'w0', rack: 'r0', capacity: 8 },
+    { workerId: 'w1', rack: 'r0', capacity: 8 },
+    { workerId: 'w2', rack: 'r1', capacity: 3 },
+    { workerId: 'w3', rack: 'r1', capacity: 2 },
+  ];
+  const shape = { tasks: 2, acceleratorsPerTask: 1, adjacency: 'zone' } as const;
+  expect(placeGang(workers, shape)).toEqual(['w3', 'w3']);
+  expect(placeGang(workers, { ...shape, tasks: 5 })).toEqual(['w0', 'w0', 'w0', 'w0', 'w0']);
+  expect(placeGang(workers, { ...shape, acceleratorsPerTask: 8 })).toEqual(['w0', 'w1']);
+  expect(placeGang(workers, { ...shape, tasks: 17, adjacency: 'rack' })).toBeNull();
+});
+
+// Guards against work that cannot be preempted on a guarantee's cells.
+test('only preemptible jobs borrow', () => {
+  const state = createZone([4], { a: { guarantees: [guarantee] }, b: {} });
+  expect(listCalls(submit(state, 0, 'j', 'b'))).toEqual([]);
+  expect(listCalls(submit(state, 0, 'k', 'b', { preemptible: true }))).toHaveLength(1);
+  expect(state.jobs.jobs.get('k')?.parts[0]?.borrowed).toBe(true);
+});
+
+// Guards against lending what the lost part of a guarantee needs.
+test('spare capacity of an unplaced guarantee', () => {
+  const state = createZone([4, 3], { a: { guarantees: [guarantee] }, b: {} });
+  lose(state, 0, 'w0');
+  send(state, 1, { type: 'settingsChanged', snapshot: state.settings.inForce! });
+  expect(state.guarantees.unplaced).toMatchObject([{ workspace: 'a', shape: 0 }]);
+  state.ownership.leases.get('w0')!.status = 'held';
+  expect(
+    listCalls(submit(state, 2, 'k', 'b', { preemptible: true, acceleratorsPerTask: 4 })),
+  ).toEqual([]);
+});
+
+// Guards against a reclaim that waits for the borrower, or for a checkpoint that never comes.
+test('reclaim is bounded', () => {
+  const state = createZone([4], { a: { guarantees: [guarantee] }, b: {} });
+  answer(state, 0, submit(state, 0, 'b1', 'b', { preemptible: true, acceleratorsPerTask: 3 }));
+  const reclaim = submit(state, 1000, 'a1', 'a', { acceleratorsPerTask: 4 });
+  expect(listCalls(reclaim)).toEqual(['checkpointTask b1.1.0 w0']);
+  expect(reclaim).toContainEqual({ type: 'count', name: 'reclaim_started' });
+  expect(submit(state, 1100, 'b2', 'b', { preemptible: true })).toHaveLength(1);
+  expect(listCalls(tick(state, 4999))).toEqual([]);
+  const stops = tick(state, 5000);
+  expect(listCalls(stops)).toEqual(['stopTask b1.1.0 w0']);
+  answer(state, 5100, stops);
+  expect(stateOf(state, 'a1')).toBe('running');
+  expect(stateOf(state, 'b1')).toBe('queued');
+});
+
+// Guards against losing the checkpoint of a reclaimed gang.
+test('requeue with checkpoint', () => {
+  const state = createZone([4], { a: { guarantees: [guarantee] }, b: {} });
+  const borrowed = { tasks: 2, acceleratorsPerTask: 2, preemptible: true };
+  answer(state, 0, submit(state, 0, 'b1', 'b', borrowed));
+  answer(state, 10, submit(state, 10, 'a1', 'a', { acceleratorsPerTask: 4 }));
+  expect(state.jobs.jobs.get('b1')?.checkpoints).toEqual(['c-b1.1.0', 'c-b1.1.1']);
+  const next = renew(state, 20, 'w0', [describeTask('a1.1.0', 1, 'finished')]);
+  expect(next).toContainEqual(
+    expect.objectContaining({ call: expect.objectContaining({ checkpoint: 'c-b1.1.0' }) }),
+  );
+});
+
+// Guards against a guarantee that waits for a short request longer than 2 s.
+test('reclaim beside a short request', () => {
+  const state = createZone([4], { a: { guarantees: [guarantee] } });
+  state.routing.loads.set('w0', { grants: new Set(['g']) } as never);
+  expect(listCalls(submit(state, 0, 'a1', 'a', { acceleratorsPerTask: 4 }))).toEqual([]);
+  expect(listCalls(tick(state, 1999))).toEqual([]);
+  expect(listCalls(tick(state, 2000))).toEqual(['prepareTask a1.1.0 w0']);
+});
+
+// Guards against cancellation during a checkpoint that requeues the job.
+test('cancel during checkpoint', () => {
+  const state = createZone([4], { a: { guarantees: [guarantee] }, b: {} });
+  answer(state, 0, submit(state, 0, 'b1', 'b', { preemptible: true }));
+  const reclaim = submit(state, 10, 'a1', 'a', { acceleratorsPerTask: 4 });
+  const stops = cancel(state, 20, 'b1', 'b');
+  answer(state, 30, reclaim);
+  answer(state, 40, stops);
+  expect(stateOf(state, 'b1')).toBe('cancelled');
+});
+
+// Guards against a large gang that small jobs keep from ever starting.
+test('small jobs do not starve a large gang', () => {
+  const state = createZone([2, 2], { a: {} });
+  answer(state, 0, submit(state, 0, 's0', 'a', { declaredMs: 5000 }));
+  submit(state, 10, 'large', 'a', { tasks: 4 });
+  expect(listCalls(submit(state, 20, 's1', 'a', { declaredMs: 60_000 }))).toEqual([]);
+  expect(listCalls(submit(state, 30, 's2', 'a', { declaredMs: 1000 }))).toHaveLength(1);
+  expect(explainJob(state, state.jobs.jobs.get('s1')!, 40)).toContain('large holds a reservation');
+});
+
+// Guards against backfill by a declared time that runs of this shape have disproved.
+test('backfill trusts observed times', () => {
+  const state = createZone([2], { a: {} });
+  answer(state, 0, submit(state, 0, 's0', 'a', { declaredMs: 1 }));
+  renew(state, 90_000, 'w0', [describeTask('s0.1.0', 1, 'finished')]);
+  answer(state, 90_000, submit(state, 90_000, 's1', 'a', { declaredMs: 1 }));
+  submit(state, 120_000, 'large', 'a', { tasks: 2 });
+  expect(listCalls(submit(state, 120_001, 's2', 'a', { declaredMs: 1 }))).toEqual([]);
+});
+
+// Guards against a workspace that takes everything because it submitted first.
+test('free capacity goes to the lowest weighted use', () => {
+  const state = createZone([3], { a: { weight: 1 }, b: { weight: 2 } });
+  answer(state, 0, submit(state, 0, 'x', 'a', { acceleratorsPerTask: 3 }));
+  ['a1', 'a2', 'b1', 'b2'].forEach((id, index) => submit(state, index, id, id[0]!));
+  renew(state, 1000, 'w0', [describeTask('x.1.0', 1, 'finished')]);
+  const started = ['a1', 'a2', 'b1', 'b2'].filter((id) => stateOf(state, id) === 'preparing');
+  expect(started).toEqual(['a1', 'b1', 'b2']);
+});
+
+// Guards against a workspace that exceeds its quota by many small jobs.
+test('quota', () => {
+  const state = createZone([4], { a: { maxAccelerators: 2 } });
+  ['j', 'k', 'l'].forEach((id, index) => submit(state, index, id, 'a'));
+  expect(stateOf(state, 'l')).toBe('queued');
+  expect(explainJob(state, state.jobs.jobs.get('l')!, 9)).toContain('uses 2 of its quota of 2');
+});
+
+// Guards against an urgent job behind the ordinary jobs of its workspace.
+test('urgent first', () => {
+  const state = createZone([1], { a: {} });
+  answer(state, 0, submit(state, 0, 'x', 'a'));
+  submit(state, 1, 'j', 'a');
+  submit(state, 2, 'k', 'a', { urgent: true });
+  renew(state, 1000, 'w0', [describeTask('x.1.0', 1, 'finished')]);
+  expect(stateOf(state, 'k')).toBe('preparing');
+});
