Let only silence or a release free a worker

Cause: a scheduler whose claim was lost has put its own name at the worker. Its next probe saw that name, took the worker for its own and claimed it while another scheduler held it. Both then renewed for ever, because a renewal does not look at the name.

Ruled out: the holder's renewal, which is right to ignore the name while its lease runs; drift of the clocks, as the overlap lasted for many leases.

Change: the own name no longer makes a worker claimable. It proves sole holding only for a renewal within a lease after the newest acknowledged one.

Both new tests fail without the change.

--- a/src/core/ownership/claimWorker.ts
+++ b/src/core/ownership/claimWorker.ts
@@ -6,10 +6,19 @@
 import { updateLead } from './updateLead.js';
 import type { WorkerLease } from './WorkerLease.js';
 
-const isSoleHolder = (state: State, event: EventOf<'leaseAnswered'>): boolean => {
+const isSoleHolder = (
+  state: State,
+  lease: WorkerLease,
+  event: EventOf<'leaseAnswered'>,
+): boolean => {
   const { holder, ageMs } = event.report.lastRenewal;
   const { registeredAt } = state.ownership;
-  if (holder === getHolderName(state.self)) return true;
+  if (holder === getHolderName(state.self)) {
+    // A lost claim, or a renewal that arrived late, may have put this name over another holder's.
+    // Nobody can have claimed within a lease after the newest acknowledged renewal.
+    const leaseEndAt = lease.renewedAt + state.timing.holderLeaseMs;
+    return lease.soleHolder && event.at - ageMs < leaseEndAt;
+  }
   // The process of a worker without a holder must have been up since before the registration;
   // otherwise it may have been held and has forgotten it.
   return holder === null && registeredAt !== null && event.at - ageMs <= registeredAt;
@@ -28,9 +37,9 @@
     return [{ type: 'count', name: 'claim_lost' }];
   }
   lease.status = 'held';
+  lease.soleHolder = isSoleHolder(state, lease, event);
   lease.renewedAt = event.sentAt;
   lease.incarnation = event.report.incarnation;
-  lease.soleHolder = isSoleHolder(state, event);
   const { workerId, report } = event;
   return [
     { type: 'emit', event: { type: 'workerClaimed', workerId, report } },
--- a/test/core/ownership/ownershipHandlers.test.ts
+++ b/test/core/ownership/ownershipHandlers.test.ts
@@ -108,3 +108,21 @@
   daemon.push(makeSnapshotEvent(2, ['w1', 'w2', 'w3', 'w4']));
   expect(isLead(daemon.state, 1000)).toBe(false);
 });
+
+// Guards against two holders: a claim that was lost leaves its name at the worker.
+test('own name does not free a worker', () => {
+  const daemon = makeIdle(['w1']);
+  const effects = answerLeases(daemon, daemon.push({ type: 'tick' }), makeReport('vm-2/i1', 900));
+  expect(listPurposes(effects)).toEqual([]);
+});
+
+// Guards against a key memory taken for complete although another holder came between.
+test('late renewal does not prove sole holding', () => {
+  const daemon = makeHolder(['w1']);
+  expect(daemon.state.ownership.leases.get('w1')!.soleHolder).toBe(true);
+  daemon.advance(20_000);
+  const effects = daemon.push({ type: 'tick' });
+  answerLeases(daemon, effects, makeReport('vm-1/i1', 4000));
+  expect(isHeld(daemon.state, 'w1', 21_000)).toBe(true);
+  expect(daemon.state.ownership.leases.get('w1')!.soleHolder).toBe(false);
+});
