Keep the unknown outcome of an earlier attempt

Cause: an idempotent request whose first attempt was sent and lost is asked for again. When its deadline passed while it waited, or the scheduler refused it, the refusal said not-run although the first attempt had run.

Change: an exchange remembers that an attempt may have run, and every later refusal says unknown. Repeated headers of the present attempt no longer abort it.

Both new tests fail without the change.

Conclusion: refusals that say not-run hold for all attempts of a request.

--- a/src/core/requests/Exchange.ts
+++ b/src/core/requests/Exchange.ts
@@ -18,6 +18,8 @@
   dispatchedAt: number;
   /** Status of the worker's answer, or null before its headers arrived. */
   status: number | null;
+  /** Whether an earlier attempt was sent, so that no refusal may say that the request was not run. */
+  mayHaveRun: boolean;
   /** Workers on which earlier attempts failed. */
   avoid: string[];
 }
--- a/src/core/requests/handleAttemptFailed.ts
+++ b/src/core/requests/handleAttemptFailed.ts
@@ -36,6 +36,7 @@
 const failSent: FailureHandler = (state, exchange, at) => {
   const release = releaseAttempt(exchange, 'unknown', at);
   avoidWorker(exchange);
+  exchange.mayHaveRun = true;
   noteUse(state, exchange, 'unknown', at);
   if (exchange.idempotent && exchange.replayable && spendRetry(state)) {
     return [
--- a/src/core/requests/handleAttemptHeaders.ts
+++ b/src/core/requests/handleAttemptHeaders.ts
@@ -8,12 +8,10 @@
 export const handleAttemptHeaders = (state: State, event: EventOf<'attemptHeaders'>): Effect[] => {
   const { requestId, attemptId } = event;
   const exchange = findAttempt(state, event);
-  if (!exchange || exchange.phase === 'answering') {
-    return [
-      { type: 'abortAttempt', requestId, attemptId },
-      { type: 'count', name: 'late_answer_dropped' },
-    ];
-  }
+  const dropped: Effect = { type: 'count', name: 'late_answer_dropped' };
+  if (!exchange) return [{ type: 'abortAttempt', requestId, attemptId }, dropped];
+  // Repeated headers of the present attempt must not break the answer that is under way.
+  if (exchange.phase === 'answering') return [dropped];
   exchange.phase = 'answering';
   exchange.status = event.status;
   return [{ type: 'relayAnswer', requestId, attemptId, closeConnection: isDraining(state) }];
--- a/src/core/requests/handleCallerRequested.ts
+++ b/src/core/requests/handleCallerRequested.ts
@@ -35,6 +35,7 @@
   workerId: null,
   dispatchedAt: event.at,
   status: null,
+  mayHaveRun: false,
   avoid: [],
 });
 
--- a/src/core/requests/refuseExchange.ts
+++ b/src/core/requests/refuseExchange.ts
@@ -3,8 +3,13 @@
 import type { State } from '../State.js';
 import { isDraining } from './isDraining.js';
 
-/** Answers a caller with a refusal and forgets the exchange. */
-export const refuseExchange = (state: State, requestId: string, refusal: Refusal): Effect[] => {
+/**
+ * Answers a caller with a refusal and forgets the exchange. After an attempt that may have run, the
+ * outcome is unknown whatever the reason.
+ */
+export const refuseExchange = (state: State, requestId: string, reason: Refusal): Effect[] => {
+  const mayHaveRun = state.requests.exchanges.get(requestId)?.mayHaveRun ?? false;
+  const refusal: Refusal = mayHaveRun ? { ...reason, outcome: 'unknown' } : reason;
   state.requests.exchanges.delete(requestId);
   return [
     { type: 'refuseCaller', requestId, refusal, closeConnection: isDraining(state) },
--- a/test/core/requests/requestsHandlers.test.ts
+++ b/test/core/requests/requestsHandlers.test.ts
@@ -186,3 +186,28 @@
     { refusal: { reason: 'unauthorized' } },
   ]);
 });
+
+// Guards against a refusal that denies an earlier attempt, which may have run.
+test('deadline after a sent attempt is unknown', () => {
+  const daemon = makeGateway();
+  dispatch(daemon, true);
+  daemon.push(fail(1, 'sent'));
+  daemon.advance(5000);
+  expect(findEffects(daemon.push({ type: 'tick' }), 'refuseCaller')).toMatchObject([
+    { refusal: { reason: 'deadline-exceeded', outcome: 'unknown' } },
+  ]);
+});
+
+// Guards against a repeated event that breaks the answer under way.
+test('repeated headers are ignored', () => {
+  const daemon = makeGateway();
+  dispatch(daemon, true);
+  const headers = {
+    type: 'attemptHeaders',
+    requestId: 'r1',
+    attemptId: 'r1.1',
+    status: 200,
+  } as const;
+  daemon.push(headers);
+  expect(findEffects(daemon.push(headers), 'abortAttempt')).toEqual([]);
+});
