Keep a key that is claimed again out of the freed keys

Cause: an attempt that was not sent frees its key; the next attempt of the same request claims it again before the copy is sent. The copy then carried the key both as changed and as freed, and the receiver deleted it. A successor granted the key a second time.

Change: a claim takes the key out of the freed keys.

The new tests fail without the change.

--- a/src/core/routing/claimKey.ts
+++ b/src/core/routing/claimKey.ts
@@ -42,6 +42,8 @@
     forgetAt: at + state.timing.keyRetentionMs,
   });
   state.replication.changedKeys.add(keyId);
+  // The same copy must not free the key again after an earlier attempt that was not sent.
+  state.replication.freedKeys.delete(keyId);
   const copies = sendCopies(state, at);
   state.routing.keyWaits.push({ request, sequence: state.replication.sequence });
   return [...copies, ...grantKeyWaits(state, at)];
--- a/test/core/routing/routingHandlers.test.ts
+++ b/test/core/routing/routingHandlers.test.ts
@@ -156,3 +156,15 @@
   const granted = [...findMessages(first, 'grant'), ...findMessages(second, 'grant')];
   expect(granted.map(({ requestId }) => requestId)).toContain('l0');
 });
+
+// Guards against a copy that claims a key and frees it again, so that a successor forgets it.
+test('key claimed again is not freed in the copy', () => {
+  const daemon = makeHolder(['w1', 'w2']);
+  daemon.push(ask('r1', { idempotencyKey: 'k' }));
+  daemon.push({ type: 'linkOpened', node: 'vm-2/scheduler', zone: 'zone-a' });
+  daemon.push(release('r1', 'not-sent'));
+  const effects = daemon.push(ask('r1', { idempotencyKey: 'k', attempt: 2 }));
+  expect(findMessages(effects, 'replicate')).toMatchObject([
+    { keys: [{ requestId: 'r1' }], freedKeys: [] },
+  ]);
+});
