Release a worker only when no renewal is open

Cause: a renewal and a release that both wait in a broken connection arrive after another scheduler has claimed the worker. The renewal puts the old name back, the release then matches it, and a third scheduler claims the worker under its holder.

Ruled out: delayed renewals alone, which only postpone claims.

Change: a holder whose newest renewal has no answer leaves the lease to lapse.

--- a/src/core/ownership/handleSettingsChanged.ts
+++ b/src/core/ownership/handleSettingsChanged.ts
@@ -1,8 +1,8 @@
 import type { Effect } from '../Effect.js';
 import type { EventOf } from '../EventOf.js';
 import type { State } from '../State.js';
-import { callLease } from './callLease.js';
 import { loseWorker } from './loseWorker.js';
+import { releaseWorker } from './releaseWorker.js';
 import type { WorkerLease } from './WorkerLease.js';
 
 const createLease = (workerId: string): WorkerLease => ({
@@ -20,7 +20,7 @@
 const removeLease = (state: State, lease: WorkerLease, at: number): Effect[] => {
   const effects =
     lease.status === 'held'
-      ? [...callLease(state, lease, 'release', at), ...loseWorker(lease, 'no longer registered')]
+      ? [...releaseWorker(state, lease, at), ...loseWorker(lease, 'no longer registered')]
       : [];
   state.ownership.leases.delete(lease.workerId);
   return effects;
--- a/src/core/ownership/handleShutdownRequested.ts
+++ b/src/core/ownership/handleShutdownRequested.ts
@@ -1,9 +1,9 @@
 import type { Effect } from '../Effect.js';
 import type { EventOf } from '../EventOf.js';
 import type { State } from '../State.js';
-import { callLease } from './callLease.js';
 import { isHeld } from './isHeld.js';
 import { loseWorker } from './loseWorker.js';
+import { releaseWorker } from './releaseWorker.js';
 import { updateLead } from './updateLead.js';
 
 /** Gives every held worker back, so that the successor need not wait for the leases to lapse. */
@@ -16,7 +16,7 @@
   );
   return [
     ...held.flatMap((lease) => [
-      ...callLease(state, lease, 'release', event.at),
+      ...releaseWorker(state, lease, event.at),
       ...loseWorker(lease, 'shutdown'),
     ]),
     ...updateLead(state, event.at),
--- a/test/core/ownership/ownershipHandlers.test.ts
+++ b/test/core/ownership/ownershipHandlers.test.ts
@@ -126,3 +126,12 @@
   expect(isHeld(daemon.state, 'w1', 21_000)).toBe(true);
   expect(daemon.state.ownership.leases.get('w1')!.soleHolder).toBe(false);
 });
+
+// Guards against a late renewal and a late release that free a worker under its next holder.
+test('unanswered renewal keeps the worker from being released', () => {
+  const daemon = makeHolder(['w1']);
+  daemon.advance(1000);
+  expect(listPurposes(daemon.push({ type: 'tick' }))).toEqual(['renew']);
+  expect(listPurposes(daemon.push({ type: 'shutdownRequested' }))).toEqual([]);
+  expect(isHeld(daemon.state, 'w1', 2000)).toBe(false);
+});
