Fuzz settings against a fake log

Recorders, a fake log with outages and lost append answers, and two operators are added to the world. The oracle folds the log by itself and compares every process's tree 7 s after the last fault.

Ruled out as a fault: a refusal not-run of one request while a repeat of the same proposal through another VM is accepted; the oracle tells them apart.

A duplicate copy of a release is not modelled: together with a duplicate of an older renewal it frees a held worker, and the worker's protocol cannot tell it from a first copy. A call is written once to one connection.

--- a/test/fuzz/commands/FuzzCommand.ts
+++ b/test/fuzz/commands/FuzzCommand.ts
@@ -19,6 +19,11 @@
   | { type: 'cutVms'; vm: number; other: number; forMs: number }
   /** Cuts a VM off from the workers whose bit is set. */
   | { type: 'cutWorkers'; vm: number; workers: number; forMs: number }
+  /** Cuts a VM off from the log. */
+  | { type: 'cutLog'; vm: number; forMs: number }
+  | { type: 'logOutage'; forMs: number }
+  | { type: 'loseAppendAnswers'; forMs: number }
+  | { type: 'propose'; gateway: number; path: 'zones' | 'teams/t1' | 'teams/t2'; again: boolean }
   | { type: 'workerLeaves'; worker: number }
   | { type: 'workerRestarts'; worker: number; forMs: number }
   | { type: 'workerFails'; worker: number; how: 'status' | 'reset'; forMs: number }
--- /dev/null
+++ b/test/fuzz/commands/proposeSettings.ts
@@ -0,0 +1,51 @@
+import type { SubtreePath } from '../../../src/core/settings/SubtreePath.js';
+import { makeSnapshot } from '../world/makeSnapshot.js';
+import { pushEvent } from '../world/pushEvent.js';
+import type { World } from '../world/World.js';
+import type { FuzzCommand } from './FuzzCommand.js';
+
+const buildSubtree = (world: World, path: SubtreePath, number: number): unknown => {
+  const zones = Object.keys(world.snapshot.tree.zones);
+  const { tree } = makeSnapshot([...world.workers.values()], 0, zones);
+  if (path === 'zones') {
+    // Each proposal drains another worker, so that the trees differ.
+    const workers = Object.values(tree.zones).flatMap((zone) => Object.values(zone.workers));
+    workers[number % workers.length]!.drained = true;
+    return tree.zones;
+  }
+  const workspace = { maxAccelerators: number, maxQueuedRequests: 1000, guarantees: [], weight: 1 };
+  return path === 'teams/t1'
+    ? { tokenHashes: [], workspaces: { alpha: workspace, beta: workspace } }
+    : { tokenHashes: [], workspaces: { gamma: workspace } };
+};
+
+/** Lets an operator read the settings at a gateway and propose a change of what it saw. */
+export const proposeSettings = (
+  world: World,
+  command: Extract<FuzzCommand, { type: 'propose' }>,
+): void => {
+  const gateways = [...world.nodes.values()].filter((node) => node.state.self.role === 'gateway');
+  const gateway = gateways[command.gateway % gateways.length]!;
+  if (!gateway.alive || !gateway.listening || gateway.pausedUntil > world.now) return;
+  const { path } = command;
+  const { operators } = world.history;
+  const number = operators.length + 1;
+  const requestId = `o${number}`;
+  // A repeated proposal is the operator's retry of the newest one.
+  const proposalId = command.again ? (operators.at(-1)?.proposalId ?? 'p1') : `p${number}`;
+  const seen = gateway.state.settings.inForce?.subtreeVersions[path] ?? -1;
+  operators.push({ requestId, proposalId, result: null });
+  pushEvent(world, gateway, gateway.life, {
+    type: 'commandRequested',
+    requestId,
+    tokenHash: 'root-hash',
+    command: {
+      kind: 'proposeSettings',
+      proposalId,
+      path,
+      expectedVersion: seen,
+      subtree: buildSubtree(world, path, number),
+      author: requestId,
+    },
+  });
+};
--- a/test/fuzz/commands/runCommand.ts
+++ b/test/fuzz/commands/runCommand.ts
@@ -9,6 +9,7 @@
 import type { WorldNode } from '../world/WorldNode.js';
 import { addCut } from './addCut.js';
 import type { FuzzCommand } from './FuzzCommand.js';
+import { proposeSettings } from './proposeSettings.js';
 import { restartWorker } from './restartWorker.js';
 import { sendRequest } from './sendRequest.js';
 
@@ -75,6 +76,14 @@
     const names = [...world.workers.keys()].filter((_, index) => (workers >> index) & 1);
     addCut(world, [[choose(listVmIds(world), vm)], names], forMs);
   },
+  cutLog: (world, { vm, forMs }) => addCut(world, [[choose(listVmIds(world), vm)], ['log']], forMs),
+  logOutage: (world, { forMs }) => {
+    world.log.outageUntil = world.now + forMs;
+  },
+  loseAppendAnswers: (world, { forMs }) => {
+    world.log.lostAnswersUntil = world.now + forMs;
+  },
+  propose: proposeSettings,
   workerLeaves: (world, { worker }) => {
     choose(world.workers.values(), worker).leftAt ??= world.now;
   },
@@ -98,6 +107,9 @@
 /** Carries out one command on a world. */
 export const runCommand = (world: World, command: FuzzCommand): void => {
   if (command.type !== 'advance') traceStep(world, 'command', command);
+  if ('forMs' in command) {
+    world.faultsEndAt = Math.max(world.faultsEndAt, world.now + command.forMs);
+  }
   const runner = runners[command.type] as (of: World, command: FuzzCommand) => void;
   runner(world, command);
 };
--- a/test/fuzz/foundFaults.test.ts
+++ b/test/fuzz/foundFaults.test.ts
@@ -36,6 +36,35 @@
       { type: 'kill', node: 0, forMs: 300 },
     ],
   ],
+  [
+    'late renewal and late release free a held worker',
+    'holder',
+    10,
+    [
+      { type: 'cutWorkers', vm: 0, workers: 15, forMs: 5500 },
+      { type: 'advance', ms: 1600 },
+      { type: 'terminate', node: 1 },
+    ],
+  ],
+  [
+    'copy frees the key that it claims',
+    'once',
+    52_823,
+    [
+      { type: 'cutWorkers', vm: 0, workers: 21, forMs: 14_000 },
+      {
+        type: 'request',
+        gateway: 0,
+        idempotent: false,
+        key: 2,
+        serviceMs: 1500,
+        timeoutMs: 20_000,
+      },
+      { type: 'advance', ms: 7000 },
+      { type: 'request', gateway: 0, idempotent: false, key: 2, serviceMs: 20, timeoutMs: 20_000 },
+      { type: 'stop', node: 1, forMs: 5500 },
+    ],
+  ],
 ];
 
 // Guards against the return of faults that the fuzzer found.
--- a/test/fuzz/mutations/mutations.ts
+++ b/test/fuzz/mutations/mutations.ts
@@ -100,6 +100,30 @@
   return [...reduce(state, event), exit];
 };
 
+const applyOlderTree: Change = (state, event) => {
+  const { inForce } = state.settings;
+  if (event.type === 'settingsTree' && inForce) {
+    state.settings.inForce = { ...inForce, version: -1 };
+  }
+  return event;
+};
+
+const acceptStaleVersion: Change = (state, event) => {
+  if (event.type !== 'logRead') return event;
+  const versions = state.settings.fold.snapshot.subtreeVersions as Record<string, number>;
+  const records = event.records.map((record) => {
+    const data = record.data as { path: string };
+    return { ...record, data: { ...data, expectedVersion: versions[data.path] ?? -1 } };
+  });
+  return records.length === 1 ? { ...event, records } : event;
+};
+
+const denyLostAppend: Change = (_state, event) =>
+  event.type === 'logAppendFailed' ? { ...event, outcome: 'notSent' } : event;
+
+const keepFailedRead: Change = (_state, event) =>
+  event.type === 'logReadFailed' ? { ...event, readId: 'none' } : event;
+
 /** Mutations by the name of the rule that each takes out. */
 export const mutations: Readonly<Record<string, Mutation>> = {
   'attempt ids match': { promise: 'answer', runs: 300, reduce: before(ignoreAttemptId) },
@@ -127,5 +151,17 @@
   'used key is refused': { promise: 'once', runs: 300, reduce: before(forgetKeys) },
   'leaving worker gets no grant': { promise: 'leaving', runs: 300, reduce: before(ignoreLeaving) },
   'old grant goes back': { promise: 'leaving', runs: 1000, reduce: before(useOldGrants) },
+  'older tree is not applied': { promise: 'settings', runs: 300, reduce: before(applyOlderTree) },
+  'stale version is refused': {
+    promise: 'settings',
+    runs: 300,
+    reduce: before(acceptStaleVersion),
+  },
+  'lost append answer is unknown': {
+    promise: 'settings',
+    runs: 300,
+    reduce: before(denyLostAppend),
+  },
+  'failed read is repeated': { promise: 'settings', runs: 300, reduce: before(keepFailedRead) },
   'shutdown waits for open requests': { promise: 'shutdown', runs: 100, reduce: skipDrain },
 };
--- a/test/fuzz/profiles.ts
+++ b/test/fuzz/profiles.ts
@@ -2,7 +2,9 @@
 import { checkHolder } from './oracle/checkHolder.js';
 import { checkLeaving } from './oracle/checkLeaving.js';
 import { checkOnce } from './oracle/checkOnce.js';
+import { checkOneTree } from './oracle/checkOneTree.js';
 import { checkRefusal } from './oracle/checkRefusal.js';
+import { checkSettings } from './oracle/checkSettings.js';
 import { checkSettled } from './oracle/checkSettled.js';
 import { checkShutdown } from './oracle/checkShutdown.js';
 import type { Profile } from './Profile.js';
@@ -62,6 +64,25 @@
     property: checkShutdown,
     settled: checkSettled,
   },
+  settings: {
+    world: { zones: ['za', 'zb'], workersPerZone: 2, roles: ['gateway', 'scheduler', 'recorder'] },
+    weights: {
+      propose: 8,
+      advance: 8,
+      ...processFaults,
+      terminate: 0,
+      cutZones: 1,
+      cutVms: 1,
+      cutLog: 2,
+      logOutage: 1,
+      loseAppendAnswers: 2,
+    },
+    maxLength: 40,
+    // The bound of P8.
+    settleMs: 7000,
+    property: checkSettings,
+    settled: checkOneTree,
+  },
   holder: {
     world: oneZone,
     weights: { advance: 10, ...faults, workerFails: 0, workerSlow: 0 },
--- a/test/fuzz/world/History.ts
+++ b/test/fuzz/world/History.ts
@@ -1,9 +1,11 @@
 import type { CallerRecord } from './CallerRecord.js';
+import type { OperatorRecord } from './OperatorRecord.js';
 import type { RunRecord } from './RunRecord.js';
 
 /** What the outside saw, from which the oracle judges. */
 export interface History {
   callers: Map<string, CallerRecord>;
+  operators: OperatorRecord[];
   runs: RunRecord[];
   /** Moments at which two schedulers both held a worker or both led a zone. */
   overlaps: { at: number; what: 'worker' | 'lead'; id: string; holders: string[] }[];
--- a/test/fuzz/world/World.ts
+++ b/test/fuzz/world/World.ts
@@ -4,6 +4,7 @@
 import type { SettingsSnapshot } from '../../../src/core/settings/SettingsSnapshot.js';
 import type { BagItem } from './BagItem.js';
 import type { Cut } from './Cut.js';
+import type { FakeLog } from './FakeLog.js';
 import type { FakeWorker } from './FakeWorker.js';
 import type { History } from './History.js';
 import type { Link } from './Link.js';
@@ -21,7 +22,10 @@
   nodes: Map<NodeId, WorldNode>;
   links: Link[];
   workers: Map<string, FakeWorker>;
+  log: FakeLog;
   cuts: Cut[];
+  /** When the last fault that a command began has ended. */
+  faultsEndAt: number;
   /** Until when calls to workers are slow, or are delivered twice. */
   slowUntil: number;
   duplicateUntil: number;
--- a/test/fuzz/world/runEffect.ts
+++ b/test/fuzz/world/runEffect.ts
@@ -1,7 +1,9 @@
 import type { Effect } from '../../../src/core/Effect.js';
 import { abortAttempt } from './abortAttempt.js';
 import { answerCaller } from './answerCaller.js';
+import { callAppend } from './callAppend.js';
 import { callLease } from './callLease.js';
+import { callRead } from './callRead.js';
 import { dispatchAttempt } from './dispatchAttempt.js';
 import { exitNode } from './exitNode.js';
 import { relayAnswer } from './relayAnswer.js';
@@ -27,6 +29,12 @@
     answerCaller(world, requestId, { type: 'refusal', at: world.now, refusal }),
   resetCaller: (world, _node, { requestId }) =>
     answerCaller(world, requestId, { type: 'reset', at: world.now, byGateway: true }),
+  answerCommand: (world, _node, { requestId, result }) => {
+    const operator = world.history.operators.find((known) => known.requestId === requestId);
+    if (operator) operator.result ??= result;
+  },
+  appendLog: callAppend,
+  readLog: callRead,
   closeListener: (_world, node) => {
     // An assignment to the fake's own field; the daemon only asked for it.
     node.listening = false;
--- a/test/fuzz/world/startNode.ts
+++ b/test/fuzz/world/startNode.ts
@@ -31,6 +31,8 @@
   );
   const { life } = node;
   schedule(world, world.now + chooseDelay(world, 1, tickEveryMs), () => tick(world, node, life));
+  // With recorders, the tree comes from them.
+  if (world.nodes.has(`${vmId}/recorder`)) return;
   schedule(world, world.now + settingsDelayMs, () =>
     pushEvent(world, node, life, {
       type: 'settingsTree',
