Add the usage record from outbox to invoice

Cause: what ran must reach the log through failures of daemons, VMs and the log itself, and an invoice must show what is known and nothing else. Ruled out: trusting a link that returns to its replica holder, because a restarted recorder has forgotten its batches; memory of stored batches for repeated sends, because readers drop repeated ids; parallel appends per stream, because batches that grow keep the append rate bounded. Change: the outbox of every daemon, the recorder's held batches, copies on another VM and their takeover, appends to `usage` and `jobs`, reportUsage, buildInvoice, reconcileUsage with the event workerUsageRead. Batches are bounded by length as well as number, because a submitted job carries its payload and messages end at 1 MiB. A property over shuffled records found that the lines of an invoice depended on the order of appends; records are now sorted by id. Conclusion: usage is complete in the core; reading the workers' late reports still needs an effect of the ownership feature.

--- /dev/null
+++ b/src/core/usage/RecordedRun.ts
@@ -0,0 +1,7 @@
+/** What this process has recorded of one task. */
+export interface RecordedRun {
+  taskId: string;
+  startedWall: number;
+  endedWall: number | null;
+  unknown: { fromWall: number; toWall: number }[];
+}
--- a/src/core/usage/UsageState.ts
+++ b/src/core/usage/UsageState.ts
@@ -1,11 +1,33 @@
+import type { LaneState } from './LaneState.js';
+import type { HeldBatch } from './HeldBatch.js';
+import type { OutboxBatch } from './OutboxBatch.js';
+import type { RecordedRun } from './RecordedRun.js';
+import type { ReplicaBatch } from './ReplicaBatch.js';
 import type { StoredRecord } from './StoredRecord.js';
+import type { UsageReport } from './UsageReport.js';
+import type { UsageStream } from './UsageStream.js';
 
-/** Usage records on their way to the log. */
+/** Usage records on their way to the log; the fields after `runs` are used by recorders only. */
 export interface UsageState {
   /** Batches sent and not yet reported stored, by batch id. */
-  unacknowledged: Map<string, StoredRecord[]>;
+  unacknowledged: Map<string, OutboxBatch>;
   /** Records not yet in a batch. */
   open: StoredRecord[];
   nextBatch: number;
   nextBatchAt: number;
+  nextGaugeAt: number;
+  /** Tasks recorded by this process and not yet compared with the worker's report. */
+  runs: Map<string, RecordedRun>;
+  /** Batches that the log has not acknowledged, by batch id. */
+  held: Map<string, HeldBatch>;
+  /** Ids of held batches without an acknowledged copy on another VM. */
+  unreplicated: Set<string>;
+  lanes: Record<UsageStream, LaneState>;
+  nextAppend: number;
+  /** Copies held for other VMs, by batch id. */
+  replicas: Map<string, ReplicaBatch>;
+  /** Ids of copies whose origin's link is lost. */
+  detached: Set<string>;
+  reports: Set<UsageReport>;
+  nextRead: number;
 }
--- /dev/null
+++ b/src/core/usage/WorkerUsageLine.ts
@@ -0,0 +1,11 @@
+/** One line of a worker's late usage report. */
+export interface WorkerUsageLine {
+  taskId: string;
+  jobId: string;
+  workspace: string;
+  accelerators: number;
+  /** Milliseconds that the task has run, by the worker's own clock. */
+  ranMs: number;
+  /** Whether the task has ended, so that `ranMs` is final. */
+  ended: boolean;
+}
--- /dev/null
+++ b/src/core/usage/buildInvoice.ts
@@ -0,0 +1,48 @@
+import { buildInvoiceJobs } from './buildInvoiceJobs.js';
+import { buildUnknown } from './buildUnknown.js';
+import { collectTasks } from './collectTasks.js';
+import { countRequests } from './countRequests.js';
+import type { Invoice } from './Invoice.js';
+import type { UsageRecord } from './UsageRecord.js';
+
+/**
+ * Builds the invoice of a workspace for a period in epoch milliseconds. Repeated ids are dropped.
+ * What is not known, open or without a start is listed by itself and never guessed. A correction
+ * falls into the period in which it was recorded, because an earlier invoice may have been sent.
+ */
+export const buildInvoice = (
+  records: readonly UsageRecord[],
+  workspace: string,
+  fromWall: number,
+  toWall: number,
+): Invoice => {
+  const own = records.filter((record) => record.workspace === workspace);
+  const byId = new Map<string, UsageRecord>();
+  own.forEach((record) => {
+    if (!byId.has(record.id)) byId.set(record.id, record);
+  });
+  // Recorders append in any order; the invoice must not depend on it.
+  const unique = [...byId.values()].sort((a, b) => (a.id < b.id ? -1 : 1));
+  const tasks = collectTasks(unique);
+  const jobs = buildInvoiceJobs(tasks, fromWall, toWall);
+  return {
+    workspace,
+    fromWall,
+    toWall,
+    acceleratorMs: jobs.reduce((sum, job) => sum + job.acceleratorMs, 0),
+    jobs,
+    requests: countRequests(unique, fromWall, toWall),
+    unknown: buildUnknown(tasks, fromWall, toWall),
+    openTasks: tasks.flatMap(({ jobId, taskId, accelerators, startedWall, endedWall, unknown }) =>
+      startedWall !== null && startedWall < toWall && endedWall === null && unknown.length === 0
+        ? [{ jobId, taskId, accelerators, startedWall }]
+        : [],
+    ),
+    tasksWithoutStart: tasks.flatMap(({ jobId, taskId, accelerators, startedWall, endedWall }) =>
+      startedWall === null && endedWall !== null && endedWall >= fromWall
+        ? [{ jobId, taskId, accelerators, endedWall }]
+        : [],
+    ),
+    repeatedRecords: own.length - unique.length,
+  };
+};
--- /dev/null
+++ b/src/core/usage/buildUnknown.ts
@@ -0,0 +1,22 @@
+import type { Invoice } from './Invoice.js';
+import type { InvoiceTask } from './InvoiceTask.js';
+
+/** Builds the intervals of unknown use that touch the period, cut to it. */
+export const buildUnknown = (
+  tasks: InvoiceTask[],
+  fromWall: number,
+  toWall: number,
+): Invoice['unknown'] =>
+  tasks
+    .flatMap(({ unknown, corrections }) =>
+      unknown.map((record) => ({
+        id: record.id,
+        jobId: record.jobId,
+        taskId: record.taskId,
+        accelerators: record.accelerators,
+        fromWall: Math.max(record.fromWall, fromWall),
+        toWall: Math.min(record.toWall, toWall),
+        settledBy: corrections[0]?.id ?? null,
+      })),
+    )
+    .filter((part) => part.fromWall < part.toWall);
--- /dev/null
+++ b/src/core/usage/collectTasks.ts
@@ -0,0 +1,46 @@
+import type { InvoiceTask } from './InvoiceTask.js';
+import type { UsageRecord } from './UsageRecord.js';
+
+type TaskRecord = Exclude<UsageRecord, { kind: 'requests' }>;
+type Collectors = {
+  readonly [K in TaskRecord['kind']]: (
+    task: InvoiceTask,
+    record: Extract<TaskRecord, { kind: K }>,
+  ) => void;
+};
+
+const collectors: Collectors = {
+  taskStarted: (task, { wall }) => {
+    task.startedWall = Math.min(task.startedWall ?? wall, wall);
+  },
+  taskEnded: (task, { wall }) => {
+    task.endedWall = Math.max(task.endedWall ?? wall, wall);
+  },
+  taskUnknown: (task, record) => {
+    task.unknown.push(record);
+  },
+  correction: (task, record) => {
+    task.corrections.push(record);
+  },
+};
+
+/** Collects the records of each task. */
+export const collectTasks = (records: readonly UsageRecord[]): InvoiceTask[] => {
+  const tasks = new Map<string, InvoiceTask>();
+  records.forEach((record) => {
+    if (record.kind === 'requests') return;
+    const { taskId, jobId, accelerators } = record;
+    const task = tasks.get(taskId) ?? {
+      jobId,
+      taskId,
+      accelerators,
+      startedWall: null,
+      endedWall: null,
+      unknown: [],
+      corrections: [],
+    };
+    tasks.set(taskId, task);
+    (collectors[record.kind] as (to: InvoiceTask, of: TaskRecord) => void)(task, record);
+  });
+  return [...tasks.values()].sort((a, b) => (a.taskId < b.taskId ? -1 : 1));
+};
--- a/src/core/usage/createUsageState.ts
+++ b/src/core/usage/createUsageState.ts
@@ -1,9 +1,27 @@
+import type { LaneState } from './LaneState.js';
 import type { UsageState } from './UsageState.js';
 
-/** Creates a usage outbox without records. */
+const createLane = (): LaneState => ({
+  waiting: [],
+  inFlight: null,
+  nextAppendAt: 0,
+  backoffMs: 0,
+});
+
+/** Creates a usage state without records. */
 export const createUsageState = (): UsageState => ({
   unacknowledged: new Map(),
   open: [],
   nextBatch: 1,
   nextBatchAt: 0,
+  nextGaugeAt: 0,
+  runs: new Map(),
+  held: new Map(),
+  unreplicated: new Set(),
+  lanes: { usage: createLane(), jobs: createLane() },
+  nextAppend: 1,
+  replicas: new Map(),
+  detached: new Set(),
+  reports: new Set(),
+  nextRead: 1,
 });
--- /dev/null
+++ b/src/core/usage/handleRecorderLost.ts
@@ -0,0 +1,24 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+
+/**
+ * Reacts to the loss of another recorder's link: batches that it copied need a new copy, and its
+ * own batches are appended here unless it sends them again in time. The link alone cannot show
+ * whether the same process or a restarted one returns, so only a repeated copy ends the wait.
+ */
+export const handleRecorderLost = (state: State, event: EventOf<'linkClosed'>): Effect[] => {
+  const { held, unreplicated, replicas, detached } = state.usage;
+  held.forEach((batch) => {
+    if (batch.replica !== event.node) return;
+    batch.replica = null;
+    batch.replicaSentAt = -Infinity;
+    unreplicated.add(batch.batchId);
+  });
+  replicas.forEach((copy) => {
+    if (copy.origin !== event.node || copy.adoptAt !== null) return;
+    copy.adoptAt = event.at + state.timing.aloneAfterMs;
+    detached.add(copy.batchId);
+  });
+  return [];
+};
--- /dev/null
+++ b/src/core/usage/handleReportRead.ts
@@ -0,0 +1,40 @@
+import { answerCommand } from '../commands/answerCommand.js';
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { buildInvoice } from './buildInvoice.js';
+import { findReport } from './findReport.js';
+import { readReport } from './readReport.js';
+import type { UsageReport } from './UsageReport.js';
+import { usageRecordSchema } from './usageRecordSchema.js';
+
+const isOfWorkspace = (data: unknown, workspace: string): boolean =>
+  typeof data === 'object' && data !== null && 'workspace' in data && data.workspace === workspace;
+
+const addPage = (report: UsageReport, event: EventOf<'logRead'>): Effect[] =>
+  event.records
+    .filter(({ data }) => isOfWorkspace(data, report.workspace))
+    .flatMap(({ data, offset }): Effect[] => {
+      const parsed = usageRecordSchema.safeParse(data);
+      if (parsed.success) {
+        report.records.push(parsed.data);
+        return [];
+      }
+      return [{ type: 'log', level: 'error', code: 'usage-record-unreadable', fields: { offset } }];
+    });
+
+/** Adds a page to a report, and answers with the invoice at the end of the stream. */
+export const handleReportRead = (state: State, event: EventOf<'logRead'>): Effect[] => {
+  const report = findReport(state.usage, event.readId);
+  if (!report) return [];
+  report.readId = null;
+  report.oldestOffset = Math.max(report.oldestOffset, event.oldestOffset);
+  const effects = addPage(report, event);
+  const ended = event.records.length === 0 && event.oldestOffset <= report.nextOffset;
+  report.nextOffset = Math.max(event.nextOffset, event.oldestOffset);
+  if (!ended) return [...effects, ...readReport(state, report)];
+  state.usage.reports.delete(report);
+  const { records, workspace, fromWall, toWall, oldestOffset } = report;
+  const data = { ...buildInvoice(records, workspace, fromWall, toWall), oldestOffset };
+  return [...effects, answerCommand(report.from, report.requestId, { ok: true, data })];
+};
--- /dev/null
+++ b/src/core/usage/handleReportUsage.ts
@@ -0,0 +1,38 @@
+import { answerCommand } from '../commands/answerCommand.js';
+import type { CommandHandler } from '../commands/CommandHandler.js';
+import { readReport } from './readReport.js';
+
+/** The recorder answers before the gateway's own command timeout, so that its reason is seen. */
+const shareOfTimeout = 0.8;
+/** A report holds the records of its workspace in memory while it reads. */
+const maxReports = 4;
+
+/** Starts the report of a workspace's usage; the answer follows when the stream has been read. */
+export const handleReportUsage: CommandHandler<'reportUsage'> = (
+  state,
+  { from, requestId, at, command },
+) => {
+  if (state.usage.reports.size >= maxReports) {
+    const refusal = { reason: 'queue-full', outcome: 'not-run', retryAfterMs: 1000 } as const;
+    return [
+      answerCommand(from, requestId, { ok: false, refusal }),
+      { type: 'countRefusal', reason: refusal.reason },
+    ];
+  }
+  const { workspace, fromWall, toWall } = command;
+  const report = {
+    from,
+    requestId,
+    workspace,
+    fromWall,
+    toWall,
+    readId: null,
+    nextReadAt: at,
+    deadlineAt: at + state.timing.commandTimeoutMs * shareOfTimeout,
+    nextOffset: 0,
+    oldestOffset: 0,
+    records: [],
+  };
+  state.usage.reports.add(report);
+  return readReport(state, report);
+};
--- /dev/null
+++ b/src/core/usage/handleUsageDurable.ts
@@ -0,0 +1,10 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+
+/** Drops the copy of a batch that its origin no longer needs. */
+export const handleUsageDurable = (state: State, event: EventOf<'usageDurable'>): Effect[] => {
+  state.usage.replicas.delete(event.batchId);
+  state.usage.detached.delete(event.batchId);
+  return [];
+};
--- /dev/null
+++ b/src/core/usage/handleUsageNoted.ts
@@ -0,0 +1,11 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { noteRuns } from './noteRuns.js';
+
+/** Collects records in the outbox; the next due tick sends them. */
+export const handleUsageNoted = (state: State, event: EventOf<'usageNoted'>): Effect[] => {
+  event.records.forEach((record) => state.usage.open.push(record));
+  noteRuns(state.usage.runs, event.records);
+  return [];
+};
--- /dev/null
+++ b/src/core/usage/handleUsageRecords.ts
@@ -0,0 +1,20 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { takeBatch } from './takeBatch.js';
+import { reportStored } from './reportStored.js';
+import { sendOrEmit } from './sendOrEmit.js';
+
+/**
+ * Takes records from a daemon. A batch sent again after its answer was lost is answered again; if
+ * the log has acknowledged it since, it is appended twice and readers drop the repeated ids.
+ */
+export const handleUsageRecords = (state: State, event: EventOf<'usageRecords'>): Effect[] => {
+  const { from, batchId, records, at } = event;
+  if (records.length === 0) return [sendOrEmit(state, from, { type: 'usageStored', batchId })];
+  const batch = state.usage.held.get(batchId);
+  if (!batch) return takeBatch(state, from, event, at);
+  batch.from = from;
+  batch.reported = false;
+  return state.usage.unreplicated.has(batchId) ? [] : reportStored(state, batch);
+};
--- /dev/null
+++ b/src/core/usage/handleUsageStored.ts
@@ -0,0 +1,9 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+
+/** Drops a batch that the recorder has reported stored. */
+export const handleUsageStored = (state: State, event: EventOf<'usageStored'>): Effect[] => {
+  state.usage.unacknowledged.delete(event.batchId);
+  return [];
+};
--- /dev/null
+++ b/src/core/usage/noteRuns.ts
@@ -0,0 +1,35 @@
+import type { RecordedRun } from './RecordedRun.js';
+import type { StoredRecord } from './StoredRecord.js';
+
+/** Bounds the memory when workers never report their usage; the oldest tasks are dropped. */
+const maxRuns = 100_000;
+
+type Notes = {
+  readonly [K in StoredRecord['kind']]?: (
+    runs: Map<string, RecordedRun>,
+    record: Extract<StoredRecord, { kind: K }>,
+  ) => void;
+};
+
+const notes: Notes = {
+  taskStarted: (runs, { taskId, wall }) => {
+    const [oldest] = runs.keys();
+    if (runs.size >= maxRuns && oldest !== undefined) runs.delete(oldest);
+    runs.set(taskId, { taskId, startedWall: wall, endedWall: null, unknown: [] });
+  },
+  taskEnded: (runs, { taskId, wall }) => {
+    const run = runs.get(taskId);
+    if (run) run.endedWall = wall;
+  },
+  taskUnknown: (runs, { taskId, fromWall, toWall }) => {
+    runs.get(taskId)?.unknown.push({ fromWall, toWall });
+  },
+};
+
+/** Remembers the recorded times of tasks for the comparison with the workers' reports. */
+export const noteRuns = (runs: Map<string, RecordedRun>, records: StoredRecord[]): void =>
+  records.forEach((record) => {
+    const note = notes[record.kind] as
+      ((to: Map<string, RecordedRun>, of: StoredRecord) => void) | undefined;
+    note?.(runs, record);
+  });
--- /dev/null
+++ b/src/core/usage/readReport.ts
@@ -0,0 +1,22 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import type { UsageReport } from './UsageReport.js';
+
+const pageLimit = 1000;
+
+/** Reads the next page of the `usage` stream for a report. */
+export const readReport = (state: State, report: UsageReport): Effect[] => {
+  const { usage, self } = state;
+  report.readId = `usage/${self.incarnation}/${usage.nextRead}`;
+  usage.nextRead += 1;
+  return [
+    {
+      type: 'readLog',
+      readId: report.readId,
+      stream: 'usage',
+      fromOffset: report.nextOffset,
+      limit: pageLimit,
+      waitMs: 0,
+    },
+  ];
+};
--- /dev/null
+++ b/src/core/usage/reconcileUsage.ts
@@ -0,0 +1,29 @@
+import { computeKnownIntervals } from './computeKnownIntervals.js';
+import type { RecordedRun } from './RecordedRun.js';
+import type { UsageRecord } from './UsageRecord.js';
+import type { WorkerUsageLine } from './WorkerUsageLine.js';
+
+/** Differences up to this are the delay between a worker and its scheduler, not a fault. */
+const toleranceMs = 1000;
+
+/**
+ * Compares workers' final usage lines with the recorded runs and returns a correction for each
+ * difference. Lines of tasks that are still open here, or that another process recorded, are
+ * skipped: nothing is known to correct.
+ */
+export const reconcileUsage = (
+  runs: ReadonlyMap<string, RecordedRun>,
+  lines: readonly WorkerUsageLine[],
+  wall: number,
+): UsageRecord[] =>
+  lines.flatMap((line): UsageRecord[] => {
+    const run = runs.get(line.taskId);
+    const known = run && line.ended ? computeKnownIntervals(run) : null;
+    if (known === null) return [];
+    const knownMs = known.reduce((sum, { fromWall, toWall }) => sum + toWall - fromWall, 0);
+    const deltaMs = line.ranMs - knownMs;
+    if (Math.abs(deltaMs) <= toleranceMs) return [];
+    const { taskId, jobId, workspace, accelerators } = line;
+    const id = `${taskId}/correction`;
+    return [{ kind: 'correction', id, workspace, jobId, taskId, accelerators, deltaMs, wall }];
+  });
--- /dev/null
+++ b/src/core/usage/replicateBatch.ts
@@ -0,0 +1,13 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import { chooseReplica } from './chooseReplica.js';
+import type { HeldBatch } from './HeldBatch.js';
+
+/** Asks another VM's recorder to keep a copy, another one than the last that did not answer. */
+export const replicateBatch = (state: State, batch: HeldBatch, at: number): Effect[] => {
+  batch.replica = chooseReplica(state, batch.replica);
+  if (batch.replica === null) return [];
+  batch.replicaSentAt = at;
+  const { batchId, records, replica } = batch;
+  return [{ type: 'send', to: replica, message: { type: 'usageReplica', batchId, records } }];
+};
--- /dev/null
+++ b/src/core/usage/reportStored.ts
@@ -0,0 +1,12 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import type { HeldBatch } from './HeldBatch.js';
+import { sendOrEmit } from './sendOrEmit.js';
+
+/** Tells the sender of a batch, once, that it may drop its records. */
+export const reportStored = (state: State, batch: HeldBatch): Effect[] => {
+  const { from, batchId, reported } = batch;
+  if (from === null || reported) return [];
+  batch.reported = true;
+  return [sendOrEmit(state, from, { type: 'usageStored', batchId })];
+};
--- /dev/null
+++ b/src/core/usage/sendOutbox.ts
@@ -0,0 +1,27 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import { countWithin } from './countWithin.js';
+import { sendOrEmit } from './sendOrEmit.js';
+
+const maxRecords = 500;
+/** A quarter of the largest message in JSON, because other encodings may be longer. */
+const maxLength = 256 * 1024;
+
+const sendBatch = (state: State, at: number): Effect => {
+  const { usage, self } = state;
+  const batchId = `${self.vmId}/${self.role}/${self.incarnation}/${usage.nextBatch}`;
+  usage.nextBatch += 1;
+  const records = usage.open.splice(0, countWithin(usage.open, maxRecords, maxLength));
+  usage.unacknowledged.set(batchId, { records, sentAt: at });
+  return sendOrEmit(state, `${self.vmId}/recorder`, { type: 'usageRecords', batchId, records });
+};
+
+/** Sends open records to the VM's recorder, when enough have collected or time has passed. */
+export const sendOutbox = (state: State, at: number): Effect[] => {
+  const { usage, timing } = state;
+  if (at < usage.nextBatchAt && usage.open.length < maxRecords) return [];
+  usage.nextBatchAt = at + timing.usageBatchMs;
+  const effects: Effect[] = [];
+  while (usage.open.length > 0) effects.push(sendBatch(state, at));
+  return effects;
+};
--- /dev/null
+++ b/src/core/usage/takeBatch.ts
@@ -0,0 +1,29 @@
+import type { Effect } from '../Effect.js';
+import type { NodeId } from '../NodeId.js';
+import type { State } from '../State.js';
+import { replicateBatch } from './replicateBatch.js';
+import type { StoredRecord } from './StoredRecord.js';
+import { streamByKind } from './streamByKind.js';
+
+/** Takes a batch into the recorder: queues its records for the log and asks for a copy. */
+export const takeBatch = (
+  state: State,
+  from: NodeId | null,
+  { batchId, records }: { batchId: string; records: StoredRecord[] },
+  at: number,
+): Effect[] => {
+  const { held, unreplicated, lanes } = state.usage;
+  const batch = {
+    batchId,
+    records,
+    from,
+    reported: false,
+    replica: null,
+    replicaSentAt: -Infinity,
+    remaining: records.length,
+  };
+  held.set(batchId, batch);
+  unreplicated.add(batchId);
+  records.forEach((record) => lanes[streamByKind[record.kind]].waiting.push({ batchId, record }));
+  return replicateBatch(state, batch, at);
+};
--- a/src/core/usage/usageHandlers.ts
+++ b/src/core/usage/usageHandlers.ts
@@ -1,4 +1,31 @@
 import type { HandlerTable } from '../HandlerTable.js';
+import { handleRecorderLost } from './handleRecorderLost.js';
+import { handleReportRead } from './handleReportRead.js';
+import { handleReportReadFailed } from './handleReportReadFailed.js';
+import { handleUsageAppended } from './handleUsageAppended.js';
+import { handleUsageAppendFailed } from './handleUsageAppendFailed.js';
+import { handleUsageDurable } from './handleUsageDurable.js';
+import { handleUsageNoted } from './handleUsageNoted.js';
+import { handleUsageRecords } from './handleUsageRecords.js';
+import { handleUsageReplica } from './handleUsageReplica.js';
+import { handleUsageReplicaAck } from './handleUsageReplicaAck.js';
+import { handleUsageStored } from './handleUsageStored.js';
+import { handleWorkerUsageRead } from './handleWorkerUsageRead.js';
+import { tickUsage } from './tickUsage.js';
 
 /** Handlers of the usage feature. */
-export const usageHandlers: HandlerTable = {};
+export const usageHandlers: HandlerTable = {
+  tick: tickUsage,
+  linkClosed: handleRecorderLost,
+  usageNoted: handleUsageNoted,
+  workerUsageRead: handleWorkerUsageRead,
+  usageRecords: handleUsageRecords,
+  usageStored: handleUsageStored,
+  usageReplica: handleUsageReplica,
+  usageReplicaAck: handleUsageReplicaAck,
+  usageDurable: handleUsageDurable,
+  logAppended: handleUsageAppended,
+  logAppendFailed: handleUsageAppendFailed,
+  logRead: handleReportRead,
+  logReadFailed: handleReportReadFailed,
+};
--- a/test/core/settings/acceptRecord.test.ts
+++ b/test/core/settings/acceptRecord.test.ts
@@ -72,6 +72,13 @@
   expect(tree.teams.t1).toMatchObject({ futureField: { a: 1 } });
 });
 
+// Guards against a tree record that claims records after its own place.
+test('tree record from the future is ignored', () => {
+  const future = { kind: 'tree', ...foldAll([zones]), offset: 50 };
+  const fold = foldAll([zones, { offset: 3, wall: 0, data: future }]);
+  expect([fold.offset, fold.snapshot.version]).toEqual([3, 0]);
+});
+
 const proposalArbitrary = fc.record({
   id: fc.integer({ min: 0, max: 12 }),
   path: fc.constantFrom('zones', 'teams/t1', 'teams/t2'),
--- /dev/null
+++ b/test/core/usage/buildInvoice.test.ts
@@ -0,0 +1,77 @@
+import { expect, test } from '@jest/globals';
+import fc from 'fast-check';
+import { buildInvoice } from '../../../src/core/usage/buildInvoice.js';
+import { makeUsage } from '../../fixtures/makeUsage.js';
+import type { UsageRecord } from '../../../src/core/usage/UsageRecord.js';
+
+const requests = (id: string, workspace: string, wall: number): UsageRecord => ({
+  ...{ kind: 'requests', id, workspace, wall },
+  ...{ answered: 5, failed: 1, unknown: 2, busyMs: 70 },
+});
+
+const records = [
+  makeUsage('taskStarted', 'j1.1.0', { wall: 50 }),
+  makeUsage('taskEnded', 'j1.1.0', { wall: 150 }),
+  // The end of this task was not observed.
+  makeUsage('taskStarted', 'j1.1.1', { wall: 110 }),
+  makeUsage('taskUnknown', 'j1.1.1', { fromWall: 140, toWall: 190 }),
+  makeUsage('taskUnknown', 'j1.1.1', { id: 'second', fromWall: 192, toWall: 194 }),
+  makeUsage('correction', 'j1.1.1', { deltaMs: 20, wall: 195 }),
+  makeUsage('taskStarted', 'j1.1.2', { wall: 120 }),
+  makeUsage('taskEnded', 'j1.1.3', { wall: 130 }),
+  // An unknown interval inside a run whose end was seen later by another scheduler.
+  makeUsage('taskStarted', 'j1.2.0', { wall: 100 }),
+  makeUsage('taskUnknown', 'j1.2.0', { fromWall: 120, toWall: 130 }),
+  makeUsage('taskEnded', 'j1.2.0', { wall: 160 }),
+  requests('m1', 'x', 100),
+  requests('m2', 'x', 200),
+  requests('m3', 'y', 100),
+];
+
+// Guards against use that is billed twice, guessed, or taken from another period or workspace.
+test('invoice bills what is known, once', () => {
+  const invoice = buildInvoice([...records, ...records], 'x', 100, 200);
+  expect(invoice.jobs).toMatchObject([
+    {
+      jobId: 'j1',
+      acceleratorMs: 100 + 60 + 40 + 40 + 60,
+      lines: [
+        { kind: 'run', taskId: 'j1.1.0', fromWall: 100, toWall: 150, acceleratorMs: 100 },
+        { kind: 'run', taskId: 'j1.1.1', fromWall: 110, toWall: 140, acceleratorMs: 60 },
+        { kind: 'correction', taskId: 'j1.1.1', deltaMs: 20, acceleratorMs: 40 },
+        { kind: 'run', taskId: 'j1.2.0', fromWall: 100, toWall: 120, acceleratorMs: 40 },
+        { kind: 'run', taskId: 'j1.2.0', fromWall: 130, toWall: 160, acceleratorMs: 60 },
+      ],
+    },
+  ]);
+  expect(invoice.acceleratorMs).toBe(300);
+  expect(invoice.requests).toEqual({ answered: 5, failed: 1, unknown: 2, busyMs: 70 });
+  expect(invoice.unknown).toMatchObject([
+    { taskId: 'j1.1.1', fromWall: 140, toWall: 190, settledBy: 'j1.1.1/correction' },
+    { taskId: 'j1.1.1', fromWall: 192, toWall: 194 },
+    { taskId: 'j1.2.0', fromWall: 120, toWall: 130, settledBy: null },
+  ]);
+  expect(invoice.openTasks).toMatchObject([{ taskId: 'j1.1.2', startedWall: 120 }]);
+  expect(invoice.tasksWithoutStart).toMatchObject([{ taskId: 'j1.1.3', endedWall: 130 }]);
+  expect(invoice.repeatedRecords).toBe(13);
+});
+
+// Guards against invoices that depend on the order in which recorders appended.
+test('order and repetition do not change the sums', () => {
+  const { repeatedRecords, ...expected } = buildInvoice(records, 'x', 100, 200);
+  expect(repeatedRecords).toBe(0);
+  const mixed = fc.shuffledSubarray([...records, ...records], { minLength: records.length * 2 });
+  fc.assert(
+    fc.property(mixed, (shuffled) => {
+      expect(buildInvoice(shuffled, 'x', 100, 200)).toMatchObject(expected);
+    }),
+    { seed: 7, numRuns: 100 },
+  );
+});
+
+// Guards against use that is lost or billed twice where two periods meet.
+test('adjacent periods add up', () => {
+  const sum = buildInvoice(records, 'x', 0, 137).acceleratorMs;
+  const rest = buildInvoice(records, 'x', 137, 300).acceleratorMs;
+  expect(sum + rest).toBe(buildInvoice(records, 'x', 0, 300).acceleratorMs);
+});
--- /dev/null
+++ b/test/core/usage/usageHandlers.test.ts
@@ -0,0 +1,195 @@
+import { expect, test } from '@jest/globals';
+import type { Effect } from '../../../src/core/Effect.js';
+import type { NodeId } from '../../../src/core/NodeId.js';
+import type { UsageRecord } from '../../../src/core/usage/UsageRecord.js';
+import type { UntimedEvent } from '../../../src/core/UntimedEvent.js';
+import { hasUnstoredRecords } from '../../../src/core/usage/hasUnstoredRecords.js';
+import { findEffects, findMessages } from '../../fixtures/findEffects.js';
+import { makeRecorder } from '../../fixtures/makeRecorder.js';
+
+const tick: UntimedEvent = { type: 'tick' };
+
+const makeRecord = (id: string): UsageRecord => ({
+  ...{ kind: 'requests', id, workspace: 'x', wall: 0 },
+  ...{ answered: 1, failed: 0, unknown: 0, busyMs: 5 },
+});
+
+const makeBatch = (batchId: string, ...ids: string[]): UntimedEvent => ({
+  type: 'usageRecords',
+  from: 'vm-1/scheduler',
+  batchId,
+  records: ids.map(makeRecord),
+});
+
+/** A recorder that is linked to others; membership's own handlers are not needed. */
+const makeLinked = (...nodes: [NodeId, string][]): ReturnType<typeof makeRecorder> => {
+  const recorder = makeRecorder();
+  nodes.forEach(([node, zone]) => {
+    recorder.state.membership.peers.set(node, { node, zone, linked: true, lastHeardAt: 0 });
+  });
+  return recorder;
+};
+
+const appendsOf = (effects: Effect[]) =>
+  findEffects(effects, 'appendLog').filter(({ stream }) => stream !== 'settings');
+
+const idsOf = (append: ReturnType<typeof appendsOf>[number] | undefined): string[] =>
+  (append?.records as UsageRecord[]).map(({ id }) => id);
+
+// Guards against records that are dropped while neither the log nor another VM has them.
+test('batch is stored once its copy is acknowledged', () => {
+  const { state, push } = makeLinked(['vm-2/recorder', 'zone-b'], ['vm-3/recorder', 'zone-a']);
+  const copies = findMessages(push(makeBatch('b1', 'u1')), 'usageReplica');
+  expect(copies).toMatchObject([{ to: 'vm-3/recorder', batchId: 'b1' }]);
+  expect(hasUnstoredRecords(state.usage)).toBe(true);
+  const ack = { type: 'usageReplicaAck', from: 'vm-3/recorder', batchId: 'b1' } as const;
+  const stored = [{ type: 'usageStored', batchId: 'b1', to: 'vm-1/scheduler' }];
+  expect(findMessages(push(ack), 'usageStored')).toEqual(stored);
+  expect(hasUnstoredRecords(state.usage)).toBe(false);
+  // The sender did not get the answer and sends again.
+  const again = push(makeBatch('b1', 'u1'));
+  expect(findMessages(again, 'usageStored')).toEqual(stored);
+  const append = appendsOf(push(tick))[0]!;
+  expect(idsOf(append)).toEqual(['u1']);
+  const { appendId, stream } = append;
+  const done = push({ type: 'logAppended', appendId, stream, firstOffset: 0 });
+  expect(findMessages(done, 'usageDurable')).toMatchObject([{ to: 'vm-3/recorder' }]);
+  expect(state.usage.held.size).toBe(0);
+});
+
+// Guards against a lone recorder that keeps its senders waiting although the log works.
+test('batch without a copy is stored once the log has it', () => {
+  const { push } = makeRecorder();
+  push(makeBatch('b1', 'u1'));
+  const { appendId, stream } = appendsOf(push(tick))[0]!;
+  const done = push({ type: 'logAppended', appendId, stream, firstOffset: 0 });
+  expect(findMessages(done, 'usageStored')).toMatchObject([{ batchId: 'b1' }]);
+});
+
+// Guards against lost records and against a log that is flooded when it returns.
+test.each(['unknown', 'notSent'] as const)('failed append (%s) is repeated in order', (outcome) => {
+  const { push } = makeRecorder();
+  push(makeBatch('b1', 'u1'));
+  const { appendId, stream } = appendsOf(push(tick, 0))[0]!;
+  push(makeBatch('b2', 'u2'), 10);
+  // One append at most is in flight.
+  expect(appendsOf(push(tick, 2000))).toEqual([]);
+  push({ type: 'logAppendFailed', appendId, stream, outcome, error: 'e' }, 2000);
+  // A late answer of an append that was given up changes nothing.
+  expect(push({ type: 'logAppended', appendId, stream, firstOffset: 0 }, 2001)).toEqual([]);
+  expect(appendsOf(push(tick, 2499))).toEqual([]);
+  const second = appendsOf(push(tick, 2500))[0];
+  expect(idsOf(second)).toEqual(['u1', 'u2']);
+  push({ type: 'logAppendFailed', appendId: second!.appendId, stream, outcome, error: 'e' }, 2500);
+  expect(appendsOf(push(tick, 3499))).toEqual([]);
+  expect(appendsOf(push(tick, 3500))).toHaveLength(1);
+});
+
+// Guards against batches whose copy is lost with the VM that held it.
+test('lost copy is replaced and a late one released', () => {
+  const { state, push } = makeLinked(['vm-2/recorder', 'zone-a'], ['vm-3/recorder', 'zone-a']);
+  push(makeBatch('b1', 'u1'), 0);
+  expect(findMessages(push(tick, 1000), 'usageReplica')).toEqual([]);
+  expect(findMessages(push(tick, 2000), 'usageReplica')).toMatchObject([{ to: 'vm-3/recorder' }]);
+  push({ type: 'usageReplicaAck', from: 'vm-3/recorder', batchId: 'b1' }, 2100);
+  const late = push({ type: 'usageReplicaAck', from: 'vm-2/recorder', batchId: 'b1' }, 2200);
+  expect(findMessages(late, 'usageDurable')).toMatchObject([{ to: 'vm-2/recorder' }]);
+  state.membership.peers.get('vm-3/recorder')!.linked = false;
+  push({ type: 'linkClosed', node: 'vm-3/recorder' }, 3000);
+  expect(findMessages(push(tick, 3000), 'usageReplica')).toMatchObject([{ to: 'vm-2/recorder' }]);
+});
+
+// Guards against records that die with the recorder of the VM that counted them.
+test('copy is appended when its origin stays away', () => {
+  const { state, push } = makeRecorder();
+  const from = 'vm-2/recorder' as const;
+  ['b1', 'b2', 'b3'].forEach((batchId) => {
+    push({ type: 'usageReplica', from, batchId, records: [makeRecord(batchId)] });
+  });
+  push({ type: 'usageDurable', from, batchId: 'b1' });
+  push({ type: 'linkClosed', node: from }, 1000);
+  // A link that returns is not enough: a restarted process does not know the batch.
+  push({ type: 'linkOpened', node: from, zone: 'zone-a' }, 2000);
+  push({ type: 'usageReplica', from, batchId: 'b3', records: [makeRecord('b3')] }, 2000);
+  expect(appendsOf(push(tick, 10_999))).toEqual([]);
+  expect(appendsOf(push(tick, 11_000)).map(idsOf)).toEqual([['b2']]);
+  expect([...state.usage.replicas.keys()]).toEqual(['b3']);
+});
+
+// Guards against an outbox that forgets records which the recorder never confirmed.
+test('outbox sends again until stored', () => {
+  const { state, push } = makeRecorder();
+  state.self.role = 'gateway';
+  const records = Array.from({ length: 501 }, (_, index) => makeRecord(`u${index}`));
+  push({ type: 'usageNoted', records });
+  const sent = findMessages(push(tick, 500), 'usageRecords');
+  expect(sent.map((message) => [message.to, message.records.length])).toEqual([
+    ['vm-1/recorder', 500],
+    ['vm-1/recorder', 1],
+  ]);
+  push({ type: 'usageStored', from: 'vm-1/recorder', batchId: sent[0]!.batchId }, 600);
+  expect(findMessages(push(tick, 2400), 'usageRecords')).toEqual([]);
+  expect(findMessages(push(tick, 2500), 'usageRecords')).toMatchObject([
+    { batchId: sent[1]!.batchId },
+  ]);
+  const gauges = findEffects(push(tick, 5000), 'gauge');
+  expect(gauges).toEqual([{ type: 'gauge', name: 'unacknowledged_records', value: 1 }]);
+});
+
+// Guards against messages above the limit, which the receiver would refuse again and again.
+test('large records are sent in several messages', () => {
+  const { state, push } = makeRecorder();
+  state.self.role = 'scheduler';
+  const id = 'x'.repeat(100_000);
+  push({ type: 'usageNoted', records: ['1', '2', '3'].map((name) => makeRecord(id + name)) });
+  const sent = findMessages(push(tick, 500), 'usageRecords');
+  expect(sent.map(({ records }) => records.length)).toEqual([2, 1]);
+});
+
+// Guards against a recorder that waits for a connection to itself.
+test('recorder stores its own records', () => {
+  const { state, push } = makeRecorder();
+  push({ type: 'usageNoted', records: [makeRecord('u1')] });
+  const effects = [...push(tick, 500), ...push(tick, 600)];
+  const { appendId, stream } = appendsOf(effects)[0]!;
+  push({ type: 'logAppended', appendId, stream, firstOffset: 0 }, 700);
+  expect(hasUnstoredRecords(state.usage)).toBe(false);
+});
+
+// Guards against an invoice from a part of the stream.
+test('report reads to the end, through expiry and failures', () => {
+  const { push } = makeRecorder();
+  const report = { kind: 'reportUsage', workspace: 'x', fromWall: 0, toWall: 10 } as const;
+  const command = { type: 'command', from: 'vm-1/gateway', requestId: 'r1' } as const;
+  const readOf = (effects: Effect[]) =>
+    findEffects(effects, 'readLog').find(({ stream }) => stream === 'usage')!;
+  const makePage = (readId: string, from: number, records: unknown[]): UntimedEvent => ({
+    type: 'logRead',
+    readId,
+    stream: 'usage',
+    records: records.map((data, index) => ({ offset: from + index, wall: 0, data })),
+    nextOffset: from + records.length,
+    oldestOffset: 5,
+  });
+  const first = readOf(push({ ...command, command: report }));
+  const second = readOf(push(makePage(first.readId, 0, [])));
+  expect(second.fromOffset).toBe(5);
+  const { readId } = second;
+  push({ type: 'logReadFailed', readId, stream: 'usage', error: 'e' }, 100);
+  const third = readOf(push(tick, 600));
+  expect(third.fromOffset).toBe(5);
+  const bad = { kind: 'requests', workspace: 'x' };
+  const page = [makeRecord('u1'), makeRecord('u1'), { workspace: 'y' }, bad];
+  const fourth = push(makePage(third.readId, 5, page), 700);
+  expect(findEffects(fourth, 'log')).toMatchObject([{ code: 'usage-record-unreadable' }]);
+  const done = push(makePage(readOf(fourth).readId, 9, []), 800);
+  const [answer] = findMessages(done, 'commandResult');
+  expect(answer?.result).toMatchObject({
+    ok: true,
+    data: { requests: { answered: 1 }, repeatedRecords: 1, oldestOffset: 5 },
+  });
+  push({ ...command, requestId: 'r2', command: report }, 1000);
+  expect(findMessages(push(tick, 9000), 'commandResult')).toMatchObject([
+    { requestId: 'r2', result: { refusal: { reason: 'log-unavailable', outcome: 'not-run' } } },
+  ]);
+});
