Release every copy of a batch, and none for a forgotten one

Cause: an acknowledgement of an unknown batch was answered with usageDurable. A restarted recorder that received one meant for its earlier process would have released the only copy of records that the log does not have. Ruled out: answering such acknowledgements after a delay, because the new process cannot learn whether the log has the batch. Change: a held batch remembers every recorder that was asked for a copy and tells each of them when the log has it; unknown acknowledgements are ignored. Tests for both, for batches over two streams, for a worker in two zones and for a proposal that the log acknowledged and the tail has not read. By design, a batch that the log lacks is lost when both of its holders die within aloneAfterMs.

--- a/src/core/usage/HeldBatch.ts
+++ b/src/core/usage/HeldBatch.ts
@@ -12,6 +12,8 @@
   /** Recorder of another VM that was asked to keep a copy, or null. */
   replica: NodeId | null;
   replicaSentAt: number;
+  /** All linked recorders that may have a copy; each is told when the log has the batch. */
+  copies: Set<NodeId>;
   /** Records that the log has not acknowledged. */
   remaining: number;
 }
--- a/src/core/usage/finishBatch.ts
+++ b/src/core/usage/finishBatch.ts
@@ -11,8 +11,9 @@
   if (batch.remaining > 0) return [];
   held.delete(batchId);
   unreplicated.delete(batchId);
-  const effects = reportStored(state, batch);
-  return batch.replica === null
-    ? effects
-    : [...effects, { type: 'send', to: batch.replica, message: { type: 'usageDurable', batchId } }];
+  const message = { type: 'usageDurable', batchId } as const;
+  return [
+    ...reportStored(state, batch),
+    ...[...batch.copies].map((to) => ({ type: 'send' as const, to, message })),
+  ];
 };
--- a/src/core/usage/handleRecorderLost.ts
+++ b/src/core/usage/handleRecorderLost.ts
@@ -10,6 +10,7 @@
 export const handleRecorderLost = (state: State, event: EventOf<'linkClosed'>): Effect[] => {
   const { held, unreplicated, replicas, detached } = state.usage;
   held.forEach((batch) => {
+    batch.copies.delete(event.node);
     if (batch.replica !== event.node) return;
     batch.replica = null;
     batch.replicaSentAt = -Infinity;
--- a/src/core/usage/handleUsageReplicaAck.ts
+++ b/src/core/usage/handleUsageReplicaAck.ts
@@ -4,8 +4,9 @@
 import { reportStored } from './reportStored.js';
 
 /**
- * Notes that another VM holds a copy. A copy that is no longer needed, because the log has the
- * batch or another recorder answered first, is released so that it is not kept for ever.
+ * Notes that another VM holds a copy; a second copy is released. An acknowledgement of an unknown
+ * batch changes nothing: it may be meant for an earlier process of this recorder, whose records
+ * only the copy still has.
  */
 export const handleUsageReplicaAck = (
   state: State,
@@ -14,9 +15,13 @@
   const { held, unreplicated } = state.usage;
   const { from, batchId } = event;
   const batch = held.get(batchId);
-  const needed = batch && (unreplicated.has(batchId) || batch.replica === from);
-  if (!needed) return [{ type: 'send', to: from, message: { type: 'usageDurable', batchId } }];
+  if (!batch) return [];
+  if (!unreplicated.has(batchId) && batch.replica !== from) {
+    batch.copies.delete(from);
+    return [{ type: 'send', to: from, message: { type: 'usageDurable', batchId } }];
+  }
   batch.replica = from;
+  batch.copies.add(from);
   unreplicated.delete(batchId);
   return reportStored(state, batch);
 };
--- a/src/core/usage/takeBatch.ts
+++ b/src/core/usage/takeBatch.ts
@@ -20,6 +20,7 @@
     reported: false,
     replica: null,
     replicaSentAt: -Infinity,
+    copies: new Set<NodeId>(),
     remaining: records.length,
   };
   held.set(batchId, batch);
--- a/test/core/settings/acceptRecord.test.ts
+++ b/test/core/settings/acceptRecord.test.ts
@@ -55,6 +55,11 @@
   ],
   ['teams/t2', { workspaces: { y: {} } }, 'teams/t2/workspaces/y/maxAccelerators: got nothing'],
   ['teams/t2', { workspaces: { constructor: {} } }, 'teams/t2/workspaces/constructor: got {}'],
+  [
+    'zones',
+    { a: (makeZones('w1') as { 'zone-a': unknown })['zone-a'], ...(makeZones('w1') as object) },
+    'zones/zone-a/workers/w1: got "w1"',
+  ],
 ] as const)('invalid subtree is explained: %s %j', (path, subtree, detail) => {
   const first = { ...(makeTeam('x', 0) as object), tokenHashes: ['a'.repeat(64)] };
   const fold = foldAll([
--- a/test/core/settings/settingsHandlers.test.ts
+++ b/test/core/settings/settingsHandlers.test.ts
@@ -82,6 +82,10 @@
   expect(
     findMessages(push(makeAppendFailed(third.appendId, 'notSent'), 9000), 'commandResult'),
   ).toMatchObject([{ result: { refusal: { outcome: 'unknown' } } }]);
+  const { appendId, stream } = findEffects(push(propose('r4'), 9000), 'appendLog')[0]!;
+  push({ type: 'logAppended', appendId, stream, firstOffset: 0 }, 9100);
+  push(tick, 18_000);
+  expect(findEffects(push(propose('r5'), 18_000), 'appendLog')).toEqual([]);
 });
 
 // Guards against a delayed message or a lagging recorder that brings back an old tree.
--- a/test/core/usage/usageHandlers.test.ts
+++ b/test/core/usage/usageHandlers.test.ts
@@ -57,13 +57,19 @@
   expect(state.usage.held.size).toBe(0);
 });
 
-// Guards against a lone recorder that keeps its senders waiting although the log works.
-test('batch without a copy is stored once the log has it', () => {
+// Guards against a batch that is reported stored when only one of its streams has its records.
+test('batch without a copy is stored once both streams have it', () => {
   const { push } = makeRecorder();
-  push(makeBatch('b1', 'u1'));
-  const { appendId, stream } = appendsOf(push(tick))[0]!;
-  const done = push({ type: 'logAppended', appendId, stream, firstOffset: 0 });
-  expect(findMessages(done, 'usageStored')).toMatchObject([{ batchId: 'b1' }]);
+  const ended = { kind: 'jobEnded', id: 'j1/ended', jobId: 'j1', state: 'finished' } as const;
+  const from = 'vm-1/scheduler' as const;
+  push({ type: 'usageRecords', from, batchId: 'b1', records: [makeRecord('u1'), ended] });
+  const stored = appendsOf(push(tick)).map(({ appendId, stream }) =>
+    findMessages(
+      push({ type: 'logAppended', appendId, stream, firstOffset: 0 }),
+      'usageStored',
+    ).map(({ batchId }) => [stream, batchId]),
+  );
+  expect(stored).toEqual([[], [['jobs', 'b1']]]);
 });
 
 // Guards against lost records and against a log that is flooded when it returns.
@@ -94,11 +100,24 @@
   push({ type: 'usageReplicaAck', from: 'vm-3/recorder', batchId: 'b1' }, 2100);
   const late = push({ type: 'usageReplicaAck', from: 'vm-2/recorder', batchId: 'b1' }, 2200);
   expect(findMessages(late, 'usageDurable')).toMatchObject([{ to: 'vm-2/recorder' }]);
+  const foreign = { type: 'usageReplicaAck', from: 'vm-2/recorder', batchId: 'b0' } as const;
+  // A restarted recorder must not release the only copy of a batch that it has forgotten.
+  expect(push(foreign, 2300)).toEqual([]);
   state.membership.peers.get('vm-3/recorder')!.linked = false;
   push({ type: 'linkClosed', node: 'vm-3/recorder' }, 3000);
   expect(findMessages(push(tick, 3000), 'usageReplica')).toMatchObject([{ to: 'vm-2/recorder' }]);
 });
 
+// Guards against copies that stay in memory for ever.
+test('every copy is released when the log has the batch', () => {
+  const { push } = makeLinked(['vm-2/recorder', 'zone-a'], ['vm-3/recorder', 'zone-a']);
+  push(makeBatch('b1', 'u1'));
+  const { appendId, stream } = appendsOf(push(tick, 2000))[0]!;
+  const done = push({ type: 'logAppended', appendId, stream, firstOffset: 0 }, 2100);
+  const released = findMessages(done, 'usageDurable').map(({ to }) => to);
+  expect(released).toEqual(['vm-2/recorder', 'vm-3/recorder']);
+});
+
 // Guards against records that die with the recorder of the VM that counted them.
 test('copy is appended when its origin stays away', () => {
   const { state, push } = makeRecorder();
