Add the siskin command line

Cause: operators and callers need the control API without writing HTTP, and scripts need exit codes that tell a refusal from an unknown outcome. Ruled out: one cac parser for all commands (it matches only the first word), and the values that cac parses (they turn a token such as 007 into a number). Change: a table of commands, each with its own parser, options and examples. A connection that breaks after a changing request was sent ends with code 4, never as not run. settings show prints TOML that settings propose accepts. Conclusion: the answers of jobs, status, history and usage are shown in the form the core gives them.

--- /dev/null
+++ b/src/bin/siskin.ts
@@ -0,0 +1,18 @@
+#!/usr/bin/env node
+import os from 'node:os';
+import { setTimeout as waitMs } from 'node:timers/promises';
+import { exitCodes } from '../cli/exitCodes.js';
+import { runCli } from '../cli/runCli.js';
+
+try {
+  process.exitCode = await runCli(process.argv.slice(2), {
+    env: process.env,
+    userName: process.env.USER ?? os.userInfo().username,
+    writeOut: (data) => process.stdout.write(data),
+    writeError: (text) => process.stderr.write(text),
+    waitMs,
+  });
+} catch (error) {
+  process.stderr.write(`internal error: ${(error as Error).stack ?? String(error)}\n`);
+  process.exitCode = exitCodes['internal-error'].code;
+}
--- /dev/null
+++ b/src/cli/CliInput.ts
@@ -0,0 +1,13 @@
+import type { CliCommand } from './CliCommand.js';
+
+/** A parsed command line. */
+export type CliInput =
+  /** Help text, already complete. */
+  | { kind: 'help'; text: string }
+  | {
+      kind: 'command';
+      command: CliCommand;
+      args: readonly string[];
+      options: Readonly<Record<string, string>>;
+      switches: ReadonlySet<string>;
+    };
--- /dev/null
+++ b/src/cli/CliOutput.ts
@@ -0,0 +1,10 @@
+import type { ExitName } from './ExitName.js';
+import type { Table } from './output/Table.js';
+
+/** What a command prints: `data` with `--json`, otherwise the table or text. */
+export interface CliOutput {
+  data: unknown;
+  view: Table | string | Buffer;
+  /** How the command ended; `ok` if absent. */
+  exit?: ExitName;
+}
--- /dev/null
+++ b/src/cli/ExitName.ts
@@ -0,0 +1,12 @@
+/** How a command of `siskin` ended. */
+export type ExitName =
+  | 'ok'
+  | 'internal-error'
+  | 'usage'
+  | 'not-run'
+  | 'outcome-unknown'
+  | 'unreachable'
+  | 'invalid-settings'
+  | 'stale-version'
+  | 'job-not-finished'
+  | 'answer-error';
--- /dev/null
+++ b/src/cli/cliCommands.ts
@@ -0,0 +1,31 @@
+import type { CliCommand } from './CliCommand.js';
+import { explainJobCommand } from './explain/explainJobCommand.js';
+import { jobsCancelCommand } from './jobs/jobsCancelCommand.js';
+import { jobsListCommand } from './jobs/jobsListCommand.js';
+import { jobsShowCommand } from './jobs/jobsShowCommand.js';
+import { jobsSubmitCommand } from './jobs/jobsSubmitCommand.js';
+import { jobsWatchCommand } from './jobs/jobsWatchCommand.js';
+import { requestCommand } from './request/requestCommand.js';
+import { settingsHistoryCommand } from './settings/settingsHistoryCommand.js';
+import { settingsProposeCommand } from './settings/settingsProposeCommand.js';
+import { settingsShowCommand } from './settings/settingsShowCommand.js';
+import { statusCommand } from './status/statusCommand.js';
+import { usageCommand } from './usage/usageCommand.js';
+import { workspacesCommand } from './workspaces/workspacesCommand.js';
+
+/** Commands of `siskin` in the order of the help text. */
+export const cliCommands: readonly CliCommand[] = [
+  settingsShowCommand,
+  settingsProposeCommand,
+  settingsHistoryCommand,
+  workspacesCommand,
+  jobsSubmitCommand,
+  jobsListCommand,
+  jobsShowCommand,
+  jobsCancelCommand,
+  jobsWatchCommand,
+  explainJobCommand,
+  requestCommand,
+  statusCommand,
+  usageCommand,
+];
--- /dev/null
+++ b/src/cli/explain/jobStateTexts.ts
@@ -0,0 +1,14 @@
+import type { JobState } from '../../core/jobs/JobState.js';
+
+/** What each state means for the owner of a job. */
+export const jobStateTexts: Readonly<Record<JobState, string>> = {
+  queued: 'It waits until all its parts fit at once.',
+  preparing: 'All parts are being prepared; none runs before every worker has answered.',
+  starting: 'All parts are prepared and have been told to start.',
+  running: 'All parts run.',
+  checkpointing: 'Its capacity is being reclaimed; a checkpoint is taken before it stops.',
+  stopping: 'Its parts are being stopped.',
+  finished: 'All parts have finished.',
+  failed: 'It failed and is not started again.',
+  cancelled: 'It was cancelled and all its parts have stopped.',
+};
--- /dev/null
+++ b/src/cli/formatHelp.ts
@@ -0,0 +1,28 @@
+import { cliCommands } from './cliCommands.js';
+import { exitCodes } from './exitCodes.js';
+import { globalOptions } from './globalOptions.js';
+
+/** Formats the overview: commands, global options and exit codes. */
+export const formatHelp = (): string => {
+  const names = cliCommands.map(({ name, args }) => `siskin ${name} ${args}`.trim());
+  const pad = (texts: readonly string[], text: string): string =>
+    text.padEnd(Math.max(...texts.map(({ length }) => length)));
+  const flags = globalOptions.map((option) => option.flags);
+  return [
+    'siskin - operate a siskinhollow mesh',
+    '',
+    'Commands:',
+    ...cliCommands.map(
+      ({ description }, index) => `  ${pad(names, names[index] ?? '')}  ${description}`,
+    ),
+    '',
+    'Options of every command, written after it:',
+    ...globalOptions.map((option) => `  ${pad(flags, option.flags)}  ${option.description}`),
+    '',
+    'Exit codes:',
+    ...Object.values(exitCodes).map(({ code, meaning }) => `  ${code}  ${meaning}`),
+    '',
+    'Run "siskin COMMAND --help" for options and examples.',
+    '',
+  ].join('\n');
+};
--- /dev/null
+++ b/src/cli/http/ApiAnswer.ts
@@ -0,0 +1,6 @@
+/** A complete answer of a gateway. */
+export interface ApiAnswer {
+  status: number;
+  contentType: string;
+  body: Buffer;
+}
--- /dev/null
+++ b/src/cli/http/parseJson.ts
@@ -0,0 +1,10 @@
+import { err, ok, type Result } from 'neverthrow';
+
+/** Parses JSON without an exception; the error is the parser's message. */
+export const parseJson = (text: string): Result<unknown, string> => {
+  try {
+    return ok(JSON.parse(text));
+  } catch (error) {
+    return err((error as Error).message);
+  }
+};
--- /dev/null
+++ b/src/cli/http/problemSchema.ts
@@ -0,0 +1,17 @@
+import { z } from 'zod';
+import { errorCatalogue } from '../../core/errorCatalogue.js';
+import type { RefusalReason } from '../../core/RefusalReason.js';
+
+const codes = Object.keys(errorCatalogue) as [RefusalReason, ...RefusalReason[]];
+
+/** Problem object of a gateway. */
+export const problemSchema = z.object({
+  type: z.string(),
+  title: z.string(),
+  status: z.int(),
+  detail: z.string(),
+  code: z.enum(codes),
+  outcome: z.enum(['not-run', 'unknown']),
+  hint: z.string(),
+  requestId: z.string(),
+});
--- /dev/null
+++ b/src/cli/http/showAnswer.ts
@@ -0,0 +1,17 @@
+import type { Result } from 'neverthrow';
+import { z } from 'zod';
+import type { CliContext } from '../CliContext.js';
+import type { CliError } from '../CliError.js';
+import type { CliOutput } from '../CliOutput.js';
+import { buildRecordTable } from '../output/buildRecordTable.js';
+import type { ApiCall } from './ApiCall.js';
+import { callApi } from './callApi.js';
+
+/** Calls the control API and shows whatever JSON it answers. */
+export const showAnswer = async (
+  context: Pick<CliContext, 'sendCall'>,
+  call: ApiCall,
+): Promise<Result<CliOutput, CliError>> => {
+  const answer = await callApi(context, z.unknown(), call);
+  return answer.map((data) => ({ data, view: buildRecordTable(data) }));
+};
--- /dev/null
+++ b/src/cli/jobs/ShownJob.ts
@@ -0,0 +1,5 @@
+import type { z } from 'zod';
+import type { jobSchema } from './jobSchema.js';
+
+/** A job as the control API shows it. */
+export type ShownJob = z.output<typeof jobSchema>;
--- /dev/null
+++ b/src/cli/jobs/buildJobBody.ts
@@ -0,0 +1,27 @@
+import { Result } from 'neverthrow';
+import type { CliContext } from '../CliContext.js';
+import type { CliError } from '../CliError.js';
+import { parseNumberOption } from '../options/parseNumberOption.js';
+
+/** Builds the body of a submission from the options; the gateway checks the rest. */
+export const buildJobBody = ({
+  options,
+  switches,
+}: Pick<CliContext, 'options' | 'switches'>): Result<string, CliError> =>
+  Result.combine([
+    parseNumberOption({ options }, 'tasks'),
+    parseNumberOption({ options }, 'accelerators'),
+    parseNumberOption({ options }, 'declared-ms'),
+  ]).map(([tasks, acceleratorsPerTask, declaredMs]) =>
+    JSON.stringify({
+      tasks,
+      acceleratorsPerTask,
+      declaredMs,
+      // Absent options are undefined, which JSON leaves out.
+      adjacency: options.adjacency,
+      zone: options.zone,
+      payload: options.payload,
+      preemptible: switches.has('preemptible'),
+      urgent: switches.has('urgent'),
+    }),
+  );
--- /dev/null
+++ b/src/cli/jobs/jobsCancelCommand.ts
@@ -0,0 +1,19 @@
+import { z } from 'zod';
+import type { CliCommand } from '../CliCommand.js';
+import { buildJobPath } from '../http/buildJobPath.js';
+import { callApi } from '../http/callApi.js';
+
+/** Cancels one job. */
+export const jobsCancelCommand: CliCommand = {
+  name: 'jobs cancel',
+  args: '<workspace> <id>',
+  description: 'Cancel one job; it ends when all its parts have stopped',
+  options: [],
+  examples: ['labels k0123456789abcdef01234567'],
+  run: async (context) => {
+    const [workspace = '', id = ''] = context.args;
+    const path = buildJobPath(workspace, id);
+    const answer = await callApi(context, z.unknown(), { method: 'DELETE', path });
+    return answer.map((data) => ({ data, view: `Cancellation of ${id} accepted.` }));
+  },
+};
--- /dev/null
+++ b/src/cli/jobs/jobsSubmitCommand.ts
@@ -0,0 +1,41 @@
+import { err } from 'neverthrow';
+import type { CliCommand } from '../CliCommand.js';
+import { buildJobPath } from '../http/buildJobPath.js';
+import { showAnswer } from '../http/showAnswer.js';
+import { buildJobBody } from './buildJobBody.js';
+
+/** Submits a gang job. */
+export const jobsSubmitCommand: CliCommand = {
+  name: 'jobs submit',
+  args: '<workspace>',
+  description: 'Submit a gang job',
+  options: [
+    { flags: '--tasks <count>', description: 'Parts that run together or not at all' },
+    { flags: '--accelerators <count>', description: 'Accelerators of each part' },
+    { flags: '--declared-ms <ms>', description: 'Expected run time in milliseconds' },
+    { flags: '--adjacency <word>', description: 'worker, rack or zone (default: zone)' },
+    { flags: '--zone <zone>', description: 'Zone of the job (default: chosen by the system)' },
+    { flags: '--payload <text>', description: 'Opaque input for the worker' },
+    { flags: '--preemptible', description: 'The job may borrow capacity and be checkpointed' },
+    { flags: '--urgent', description: 'Reclaim lent capacity at once' },
+    { flags: '--key <key>', description: 'Idempotency key; repeats find the same job' },
+  ],
+  examples: [
+    'labels --tasks 4 --accelerators 8 --declared-ms 3600000 --key batch-17',
+    'labels --tasks 1 --accelerators 2 --declared-ms 60000 --urgent',
+  ],
+  run: async (context) => {
+    const body = buildJobBody(context);
+    if (body.isErr()) return err(body.error);
+    const { key } = context.options;
+    return showAnswer(context, {
+      method: 'POST',
+      path: buildJobPath(context.args[0] ?? ''),
+      headers: {
+        'content-type': 'application/json',
+        ...(key === undefined ? {} : { 'idempotency-key': key }),
+      },
+      body: body.value,
+    });
+  },
+};
--- /dev/null
+++ b/src/cli/output/Table.ts
@@ -0,0 +1,5 @@
+/** Rows to print under headings. */
+export interface Table {
+  columns: readonly string[];
+  rows: readonly (readonly string[])[];
+}
--- /dev/null
+++ b/src/cli/parseCommandLine.ts
@@ -0,0 +1,76 @@
+import { cac } from 'cac';
+import { err, ok, type Result } from 'neverthrow';
+import type { CliCommand } from './CliCommand.js';
+import type { CliError } from './CliError.js';
+import type { CliInput } from './CliInput.js';
+import { findCommand } from './findCommand.js';
+import { formatHelp } from './formatHelp.js';
+import { globalOptions } from './globalOptions.js';
+import { readOptionTexts } from './options/readOptionTexts.js';
+
+const listOptionNames = (command: CliCommand, withValue: boolean): string[] =>
+  [...command.options, ...globalOptions]
+    .filter(({ flags }) => flags.includes('<') === withValue)
+    .map(({ flags }) => flags.replace(/^--/, '').split(' ')[0] ?? '');
+
+/** Each command has its own parser, because cac matches only the first word of a command. */
+const createParser = (command: CliCommand) => {
+  const parser = cac(`siskin ${command.name}`);
+  const definition = parser.command(command.args, command.description);
+  [...command.options, ...globalOptions].forEach(({ flags, description }) =>
+    definition.option(flags, description),
+  );
+  definition.option('-h, --help', 'Show this text');
+  definition.action(() => undefined);
+  return parser;
+};
+
+const formatCommandHelp = (command: CliCommand): string => {
+  const options = [...command.options, ...globalOptions];
+  const width = Math.max(...options.map(({ flags }) => flags.length));
+  return [
+    `Usage: ${`siskin ${command.name} ${command.args}`.trim()} [options]`,
+    '',
+    `${command.description}.`,
+    '',
+    'Options:',
+    ...options.map(({ flags, description }) => `  ${flags.padEnd(width)}  ${description}`),
+    '',
+    'Examples:',
+    ...command.examples.map((example) => `  $ ${`siskin ${command.name} ${example}`.trim()}`),
+    '',
+  ].join('\n');
+};
+
+const parseCommand = (command: CliCommand, words: string[]): Result<CliInput, CliError> => {
+  const parser = createParser(command);
+  try {
+    const { args, options } = parser.parse(['node', 'siskin', ...words], { run: false });
+    if (options.help) return ok({ kind: 'help', text: formatCommandHelp(command) });
+    parser.runMatchedCommand();
+    const names = new Set(listOptionNames(command, true));
+    const switches = listOptionNames(command, false).filter((name) => options[name] === true);
+    return ok({
+      kind: 'command',
+      command,
+      args,
+      options: readOptionTexts(words, names),
+      switches: new Set(switches),
+    });
+  } catch (error) {
+    if ((error as Error).name !== 'CACError') throw error;
+    const hint = `Run "siskin ${command.name} --help".`;
+    return err({ type: 'usage', message: (error as Error).message, hint });
+  }
+};
+
+/** Parses a command line, without the interpreter and the program. */
+export const parseCommandLine = (argv: readonly string[]): Result<CliInput, CliError> => {
+  if (['--help', '-h', 'help'].includes(argv[0] ?? '--help')) {
+    return ok({ kind: 'help', text: formatHelp() });
+  }
+  const command = findCommand(argv);
+  if (command) return parseCommand(command, argv.slice(command.name.split(' ').length));
+  const message = `unknown command: ${argv.join(' ')}`;
+  return err({ type: 'usage', message, hint: 'Run "siskin --help" for the list of commands.' });
+};
--- /dev/null
+++ b/src/cli/settings/settingsShowCommand.ts
@@ -0,0 +1,49 @@
+import { err, ok, type Result } from 'neverthrow';
+import { stringify } from 'smol-toml';
+import type { z } from 'zod';
+import type { CliCommand } from '../CliCommand.js';
+import type { CliError } from '../CliError.js';
+import type { CliOutput } from '../CliOutput.js';
+import { callApi } from '../http/callApi.js';
+import { snapshotSchema } from './snapshotSchema.js';
+
+type Snapshot = z.output<typeof snapshotSchema>;
+
+const listSubtrees = ({ tree, subtreeVersions }: Snapshot) => {
+  const teams = Object.entries(tree.teams).map(([team, subtree]) => ({
+    path: `teams/${team}`,
+    subtree,
+  }));
+  return [{ path: 'zones', subtree: tree.zones }, ...teams].map((part) => ({
+    ...part,
+    version: subtreeVersions[part.path] ?? -1,
+  }));
+};
+
+const showSubtree = (snapshot: Snapshot, path: string): Result<CliOutput, CliError> => {
+  const part = listSubtrees(snapshot).find((each) => each.path === path);
+  if (part) {
+    const heading = `# ${part.path}, version ${part.version}`;
+    return ok({ data: part, view: `${heading}\n${stringify(part.subtree)}` });
+  }
+  const hint = 'List the paths with "siskin settings show".';
+  return err({ type: 'usage', message: `the settings have no subtree ${path}`, hint });
+};
+
+/** Shows the settings in force; a subtree is printed as TOML that can be changed and proposed. */
+export const settingsShowCommand: CliCommand = {
+  name: 'settings show',
+  args: '[path]',
+  description: 'List the subtrees of the settings in force, or print one as TOML',
+  options: [],
+  examples: ['', 'zones', 'teams/teddy > teddy.toml'],
+  run: async (context) => {
+    const answer = await callApi(context, snapshotSchema, { method: 'GET', path: '/v1/settings' });
+    const [path] = context.args;
+    return answer.andThen((snapshot) => {
+      if (path !== undefined) return showSubtree(snapshot, path);
+      const rows = listSubtrees(snapshot).map((part) => [part.path, String(part.version)]);
+      return ok({ data: snapshot, view: { columns: ['path', 'version'], rows } });
+    });
+  },
+};
--- /dev/null
+++ b/src/cli/settings/snapshotSchema.ts
@@ -0,0 +1,14 @@
+import { z } from 'zod';
+
+/** The settings in force; unknown fields of a newer version are kept. */
+export const snapshotSchema = z.looseObject({
+  version: z.int(),
+  subtreeVersions: z.record(z.string(), z.int()),
+  tree: z.looseObject({
+    zones: z.record(z.string(), z.unknown()),
+    teams: z.record(
+      z.string(),
+      z.looseObject({ workspaces: z.record(z.string(), z.record(z.string(), z.unknown())) }),
+    ),
+  }),
+});
--- /dev/null
+++ b/test/cli/runCli.test.ts
@@ -0,0 +1,148 @@
+import fs from 'node:fs';
+import net from 'node:net';
+import os from 'node:os';
+import path from 'node:path';
+import { expect, test } from '@jest/globals';
+import type { CommandResult } from '../../src/core/commands/CommandResult.js';
+import type { Refusal } from '../../src/core/Refusal.js';
+import { callCli } from '../support/callCli.js';
+import { serveApi } from '../support/serveApi.js';
+
+const unused = 'http://127.0.0.1:9';
+const refuse = (refusal: Refusal): CommandResult => ({ ok: false, refusal });
+
+const workspace = { weight: 2, guarantees: [], maxAccelerators: 8, maxQueuedRequests: 9 };
+const snapshot = {
+  version: 7,
+  subtreeVersions: { 'teams/teddy': 5 },
+  tree: { zones: {}, teams: { teddy: { tokenHashes: [], workspaces: { labels: workspace } } } },
+};
+
+// Each row guards against a wrong command line that is accepted or reaches the gateway.
+test.each([
+  [['jobs'], 'unknown command: jobs'],
+  [['jobs', 'list'], 'missing required args'],
+  [['jobs', 'list', 'labels', 'extra'], 'Unused args'],
+  [['status', '--verbose'], 'Unknown option `--verbose`'],
+  [['jobs', 'submit', 'labels', '--tasks', '0'], '--tasks 0 is not valid'],
+  [['usage', 'labels', '--from', 'May', '--to', '2030-01-01'], '--from May is not a time'],
+  [['settings', 'propose', 'zones', 'x.yaml', '--expect', '1'], 'x.yaml: unknown format'],
+])('usage error of %j', async (argv, message) => {
+  const { code, errors } = await callCli(unused, ...argv);
+  expect([code, errors]).toEqual([2, expect.stringContaining(message)]);
+  expect(errors).toContain('hint: ');
+});
+
+// Guards against a help text without examples.
+test('help shows options and examples', async () => {
+  const { code, out } = await callCli(unused, 'jobs', 'submit', '--help');
+  expect([code, out]).toEqual([0, expect.stringContaining('$ siskin jobs submit labels --tasks')]);
+  expect((await callCli(unused, '--help')).out).toContain('siskin jobs watch <workspace> <id>');
+});
+
+// Each row guards against two kinds of failure that scripts cannot tell apart.
+test.each([
+  [{ reason: 'no-lead', outcome: 'not-run' }, 3],
+  [{ reason: 'deadline-exceeded', outcome: 'unknown' }, 4],
+  [{ reason: 'infeasible-guarantee', outcome: 'not-run' }, 6],
+  [{ reason: 'stale-version', outcome: 'not-run' }, 7],
+] as [Refusal, number][])('exit code of %j', async (refusal, expected) => {
+  const api = await serveApi(() => refuse(refusal));
+  const { code, errors } = await callCli(api.url, 'status');
+  await api.close();
+  expect([code, errors]).toEqual([expected, expect.stringContaining(refusal.reason)]);
+});
+
+// Guards against "not run" where the connection broke after the submission was sent.
+test('broken connection is unknown for a change and unreachable for a read', async () => {
+  const server = net.createServer((socket) => socket.once('data', () => socket.destroy()));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const url = `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  expect((await callCli(url, 'jobs', 'cancel', 'labels', 'j1')).code).toBe(4);
+  expect((await callCli(url, 'status')).code).toBe(5);
+  server.close();
+  expect((await callCli(unused, 'jobs', 'cancel', 'labels', 'j1')).code).toBe(5);
+});
+
+// Guards against option values changed by the parser, and against a job without its key.
+test('submission sends the options as typed', async () => {
+  const api = await serveApi(() => ({ ok: true, data: { id: 'k1' } }));
+  const options = ['--tasks', '2', '--accelerators', '8', '--declared-ms', '60000', '--urgent'];
+  const typed = ['--payload', '007', '--key', '1e3'];
+  const first = await callCli(api.url, 'jobs', 'submit', 'labels', ...options, ...typed);
+  await callCli(api.url, 'jobs', 'submit', 'labels', ...options, '--payload', '007', '--key=1e3');
+  await api.close();
+  expect([first.code, first.errors]).toEqual([0, '']);
+  const [command, again] = api.commands;
+  expect(command).toMatchObject({
+    kind: 'submitJob',
+    spec: { tasks: 2, acceleratorsPerTask: 8, payload: '007', urgent: true, preemptible: false },
+  });
+  expect(again).toEqual(command);
+});
+
+// Guards against a shown subtree that cannot be proposed again unchanged.
+test('shown subtree can be proposed', async () => {
+  const api = await serveApi(() => ({ ok: true, data: snapshot }));
+  const { out } = await callCli(api.url, 'settings', 'show', 'teams/teddy');
+  expect(out).toContain('# teams/teddy, version 5');
+  const file = path.join(fs.mkdtempSync(path.join(os.tmpdir(), 'siskin-cli-')), 'teddy.toml');
+  fs.writeFileSync(file, out);
+  await callCli(api.url, 'settings', 'propose', 'teams/teddy', file, '--expect', '5');
+  await callCli(api.url, 'settings', 'propose', 'teams/teddy', file, '--expect', 'new');
+  await api.close();
+  const expected = { path: 'teams/teddy', author: 'ada', subtree: snapshot.tree.teams.teddy };
+  expect(api.commands[1]).toMatchObject({ ...expected, expectedVersion: 5 });
+  expect(api.commands[2]).toMatchObject({ ...expected, expectedVersion: -1 });
+});
+
+// Guards against a table that loses columns, and against JSON that a program cannot read.
+test('workspaces print as table or JSON', async () => {
+  const api = await serveApi(() => ({ ok: true, data: snapshot }));
+  const table = await callCli(api.url, 'workspaces');
+  const json = await callCli(api.url, 'workspaces', '--json');
+  await api.close();
+  expect(table.out.split('\n')[1]).toMatch(/^labels +teddy +2 +8 +9 +\[\]$/);
+  expect(JSON.parse(json.out)).toEqual([{ name: 'labels', team: 'teddy', ...workspace }]);
+});
+
+// Guards against a watch that ends at a takeover, or reports a failed job as success.
+test('watch outlasts a refusal and reports the end', async () => {
+  const answers: CommandResult[] = [
+    { ok: true, data: { id: 'j1', state: 'running' } },
+    refuse({ reason: 'no-lead', outcome: 'not-run' }),
+    { ok: true, data: { id: 'j1', state: 'failed', reason: 'gang-part-lost' } },
+  ];
+  const api = await serveApi(() => answers.shift() ?? { ok: true, data: null });
+  const { code, errors } = await callCli(api.url, 'jobs', 'watch', 'labels', 'j1');
+  await api.close();
+  expect([code, errors]).toEqual([8, 'j1: running\nj1: failed (gang-part-lost)\n']);
+});
+
+// Guards against an explanation that stops at the first workspace without the job.
+test('explain searches the workspaces', async () => {
+  const teams = { ...snapshot.tree.teams, guild: { workspaces: { transects: workspace } } };
+  const api = await serveApi((command) => {
+    if (command.kind === 'showSettings') {
+      return { ok: true, data: { ...snapshot, tree: { zones: {}, teams } } };
+    }
+    return command.kind === 'showJob' && command.workspace === 'transects'
+      ? { ok: true, data: { id: 'j1', state: 'queued', reason: 'waits for 8 accelerators' } }
+      : refuse({ reason: 'unknown-job', outcome: 'not-run' });
+  });
+  const { code, out } = await callCli(api.url, 'explain', 'job', 'j1');
+  await api.close();
+  expect(code).toBe(0);
+  expect(out).toContain('waits until all its parts fit at once');
+  expect(out).toContain('waits for 8 accelerators');
+});
+
+// Guards against an error of the worker that a script takes for success.
+test('request prints the answer and reports its status', async () => {
+  const api = await serveApi(() => ({ ok: true, data: {} }));
+  const { code, out } = await callCli(api.url, 'request', 'GET', '/w/labels/models');
+  await api.close();
+  expect([code, out]).toEqual([9, '404 Not Found']);
+});
