--- /dev/null
+++ b/src/bin/siskin-recorder.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runDaemon } from '../adapters/daemon/runDaemon.js';
+
+runDaemon('recorder');
--- a/src/core/defaultTiming.ts
+++ b/src/core/defaultTiming.ts
@@ -22,4 +22,8 @@
   retryWindowMs: 10_000,
   commandTimeoutMs: 10_000,
   usageBatchMs: 500,
+  usageCountMs: 5000,
+  usageResendMs: 2000,
+  logRetryMs: 500,
+  logRetentionMs: 86_400_000,
 };
