Check settings files offline; remove teams through the API

Cause: a faulty settings file should be found before it is proposed. Ruled out: a second set of checks in the command line; it uses the schema, the conflict search and the feasibility check of the recorders. A token is required only when a command calls the gateway. One schema of names. Conclusion: what settings check accepts for a whole tree, recorders accept.

--- a/src/adapters/config/configSchema.ts
+++ b/src/adapters/config/configSchema.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod';
+import { nameSchema } from '../../core/settings/nameSchema.js';
 import { ipAddressSchema } from './ipAddressSchema.js';
 import { ipUrlSchema } from './ipUrlSchema.js';
 import { listenSchema } from './listenSchema.js';
-import { nameSchema } from './nameSchema.js';
 import { portSchema } from './portSchema.js';
 import { timingSchema } from './timingSchema.js';
 import { vmSchema } from './vmSchema.js';
--- a/src/adapters/config/vmSchema.ts
+++ b/src/adapters/config/vmSchema.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
+import { nameSchema } from '../../core/settings/nameSchema.js';
 import { ipAddressSchema } from './ipAddressSchema.js';
-import { nameSchema } from './nameSchema.js';
 import { portSchema } from './portSchema.js';
 
 /** One entry VM of the mesh. */
--- a/src/cli/cliCommands.ts
+++ b/src/cli/cliCommands.ts
@@ -6,6 +6,7 @@
 import { jobsSubmitCommand } from './jobs/jobsSubmitCommand.js';
 import { jobsWatchCommand } from './jobs/jobsWatchCommand.js';
 import { requestCommand } from './request/requestCommand.js';
+import { settingsCheckCommand } from './settings/settingsCheckCommand.js';
 import { settingsHistoryCommand } from './settings/settingsHistoryCommand.js';
 import { settingsProposeCommand } from './settings/settingsProposeCommand.js';
 import { settingsShowCommand } from './settings/settingsShowCommand.js';
@@ -15,6 +16,7 @@
 
 /** Commands of `siskin` in the order of the help text. */
 export const cliCommands: readonly CliCommand[] = [
+  settingsCheckCommand,
   settingsShowCommand,
   settingsProposeCommand,
   settingsHistoryCommand,
--- a/src/cli/findErrorExit.ts
+++ b/src/cli/findErrorExit.ts
@@ -13,6 +13,7 @@
   usage: 'usage',
   unreachable: 'unreachable',
   interrupted: 'outcome-unknown',
+  invalidSettings: 'invalid-settings',
   // A proxy in between may have answered after the request was processed.
   unexpectedAnswer: 'outcome-unknown',
 };
--- a/src/cli/output/formatCliError.ts
+++ b/src/cli/output/formatCliError.ts
@@ -21,6 +21,7 @@
     `${problem.code}: ${problem.detail} (request ${problem.requestId})`,
     problem.hint,
   ],
+  invalidSettings: ({ reason, faults }) => [faults.join('\n'), errorCatalogue[reason].hint],
   unexpectedAnswer: ({ status, message }) => [
     `unexpected answer with status ${status}: ${message}`,
     'Check that --url names a gateway of siskinhollow of the same version.',
@@ -31,6 +32,7 @@
 export const formatCliError = (error: CliError): string => {
   // The type selects the formatter that accepts this error; the look-up erases that tie.
   const formatter = formatters[error.type] as (input: CliError) => [string, string];
-  const [message, hint] = formatter(error).map(formatCell);
-  return `error: ${message ?? ''}\nhint: ${hint ?? ''}\n`;
+  const [message, hint] = formatter(error);
+  const errors = message.split('\n').map((line) => `error: ${formatCell(line)}\n`);
+  return `${errors.join('')}hint: ${formatCell(hint)}\n`;
 };
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -5,6 +5,8 @@
 import type { CliOutput } from './CliOutput.js';
 import { exitCodes } from './exitCodes.js';
 import { findErrorExit } from './findErrorExit.js';
+import type { ApiAnswer } from './http/ApiAnswer.js';
+import type { ApiCall } from './http/ApiCall.js';
 import { sendApiCall } from './http/sendApiCall.js';
 import { formatCliError } from './output/formatCliError.js';
 import { formatView } from './output/formatView.js';
@@ -12,24 +14,28 @@
 
 type CommandInput = Extract<CliInput, { kind: 'command' }>;
 
-const runCommand = (input: CommandInput, io: CliIo): Promise<Result<CliOutput, CliError>> => {
-  const { command, args, options, switches } = input;
-  const url = options.url ?? io.env.SISKIN_URL ?? 'http://127.0.0.1:8080';
-  const token = options.token ?? io.env.SISKIN_TOKEN;
-  if (token === undefined || token === '') {
-    const hint = 'Set SISKIN_TOKEN, or give --token.';
-    return Promise.resolve(err({ type: 'usage', message: 'no token', hint }));
-  }
-  return command.run({
-    args,
-    options,
-    switches,
-    sendCall: (call) => sendApiCall({ url, token }, call),
+const sendWithToken = (
+  input: CommandInput,
+  io: CliIo,
+  call: ApiCall,
+): Promise<Result<ApiAnswer, CliError>> => {
+  const url = input.options.url ?? io.env.SISKIN_URL ?? 'http://127.0.0.1:8080';
+  const token = input.options.token ?? io.env.SISKIN_TOKEN ?? '';
+  if (token !== '') return sendApiCall({ url, token }, call);
+  const hint = 'Set SISKIN_TOKEN, or give --token.';
+  return Promise.resolve(err({ type: 'usage', message: 'no token', hint }));
+};
+
+const runCommand = (input: CommandInput, io: CliIo): Promise<Result<CliOutput, CliError>> =>
+  input.command.run({
+    args: input.args,
+    options: input.options,
+    switches: input.switches,
+    sendCall: (call) => sendWithToken(input, io, call),
     printProgress: (line) => io.writeError(`${line}\n`),
     waitMs: io.waitMs,
     userName: io.userName,
   });
-};
 
 const printError = (error: CliError, json: boolean, io: CliIo): number => {
   io.writeError(json ? `${JSON.stringify({ error })}\n` : formatCliError(error));
--- a/test/adapters/api/createApiRoutes.test.ts
+++ b/test/adapters/api/createApiRoutes.test.ts
@@ -74,6 +74,13 @@
   expect(command).toMatchObject({ kind: 'proposeSettings', ...expected });
 });
 
+// Guards against a team that cannot be removed.
+test('null subtree reaches the core', async () => {
+  const headers = { 'if-match': '12', 'siskin-author': 'ada' };
+  const { command } = await callApi('PUT', '/v1/settings/teams/t', { headers, body: null });
+  expect(command).toMatchObject({ kind: 'proposeSettings', subtree: null });
+});
+
 // Each row guards against malformed input that reaches the core or is refused without its field.
 test.each([
   ['POST', '/v1/workspaces/w/jobs', { body: { ...spec, tasks: 0 } }, 400, 'body.tasks: expected'],
--- a/test/cli/runCli.test.ts
+++ b/test/cli/runCli.test.ts
@@ -83,13 +83,48 @@
   expect(again).toEqual(command);
 });
 
+const writeFile = (name: string, text: string): string => {
+  const file = path.join(fs.mkdtempSync(path.join(os.tmpdir(), 'siskin-cli-')), name);
+  fs.writeFileSync(file, text);
+  return file;
+};
+
+const worker =
+  '[zones.a.workers.w1]\nurl = "http://127.0.0.1:9101"\nrack = "r"\naccelerators = 8\nslots = 8\n';
+const team = (accelerators: string) =>
+  `[teams.t.workspaces.labels]\nmaxAccelerators = 8\nguarantees = [{ zone = "a", workers = 1, acceleratorsPerWorker = ${accelerators}}]\n`;
+
+// Each row guards against a file that is accepted here and refused by the recorders, or reversed.
+test.each([
+  ['valid tree', worker + team('8'), 0, 'all guarantees can be placed'],
+  ['too large', worker + team('9'), 6, 'cannot be placed together'],
+  ['wrong type', worker + team('"8"'), 6, 'acceleratorsPerWorker: got "8", '],
+  ['wrong value', worker.replace('127.0.0.1', 'localhost'), 6, 'zones/a/workers/w1/url: got'],
+])('settings check of %s', async (_name, text, expected, message) => {
+  const { code, out, errors } = await callCli(
+    unused,
+    'settings',
+    'check',
+    writeFile('s.toml', text),
+  );
+  expect([code, out + errors]).toEqual([expected, expect.stringContaining(message)]);
+});
+
+// Guards against a subtree file that is read as a whole tree, in which nothing is checked.
+test('settings check of a subtree needs its path', async () => {
+  const file = writeFile('zones.json', '{"a":{"workers":{"w1":{"rack":"r"}}}}');
+  const { code, errors } = await callCli(unused, 'settings', 'check', file, '--path', 'zones');
+  expect([code, errors]).toEqual([6, expect.stringContaining('zones/a/workers/w1/url')]);
+  expect((await callCli(unused, 'settings', 'check', file)).errors).toContain('give --path');
+  expect((await callCli(unused, 'settings', 'check', file, '--path', 'teams')).code).toBe(2);
+});
+
 // Guards against a shown subtree that cannot be proposed again unchanged.
 test('shown subtree can be proposed', async () => {
   const api = await serveApi(() => ({ ok: true, data: snapshot }));
   const { out } = await callCli(api.url, 'settings', 'show', 'teams/teddy');
   expect(out).toContain('# teams/teddy, version 5');
-  const file = path.join(fs.mkdtempSync(path.join(os.tmpdir(), 'siskin-cli-')), 'teddy.toml');
-  fs.writeFileSync(file, out);
+  const file = writeFile('teddy.toml', out);
   await callCli(api.url, 'settings', 'propose', 'teams/teddy', file, '--expect', '5');
   await callCli(api.url, 'settings', 'propose', 'teams/teddy', file, '--expect', 'new');
   await api.close();
--- a/test/core/translateRefusal.test.ts
+++ b/test/core/translateRefusal.test.ts
@@ -19,11 +19,14 @@
   expect(problem.hint).toContain('before it is sent again');
 });
 
-// Guards against losing the part of a refusal that names the bad value.
-test('detail of the refusal replaces the general message', () => {
-  const problem = translateRefusal(
-    { reason: 'invalid-settings', outcome: 'not-run', detail: 'zones.a: expected an object.' },
-    'r2',
-  );
-  expect(problem.detail).toBe('zones.a: expected an object. The work was not run.');
-});
+// Guards against losing the part of a refusal that names the bad value, and against run-on text.
+test.each(['zones.a: expected an object', 'zones.a: expected an object.'])(
+  'detail "%s"',
+  (detail) => {
+    const problem = translateRefusal(
+      { reason: 'invalid-settings', outcome: 'not-run', detail },
+      'r2',
+    );
+    expect(problem.detail).toBe('zones.a: expected an object. The work was not run.');
+  },
+);
