Print lists inside an answer as tables of their own

Cause: status printed its peers as one line of JSON, seen in a trial with the three daemons on loopback. Change: formatAnswer makes a table of the fields and one of each list.

--- a/src/cli/http/showAnswer.ts
+++ b/src/cli/http/showAnswer.ts
@@ -3,7 +3,7 @@
 import type { CliContext } from '../CliContext.js';
 import type { CliError } from '../CliError.js';
 import type { CliOutput } from '../CliOutput.js';
-import { buildRecordTable } from '../output/buildRecordTable.js';
+import { formatAnswer } from '../output/formatAnswer.js';
 import type { ApiCall } from './ApiCall.js';
 import { callApi } from './callApi.js';
 
@@ -13,5 +13,5 @@
   call: ApiCall,
 ): Promise<Result<CliOutput, CliError>> => {
   const answer = await callApi(context, z.unknown(), call);
-  return answer.map((data) => ({ data, view: buildRecordTable(data) }));
+  return answer.map((data) => ({ data, view: formatAnswer(data) }));
 };
--- a/src/cli/jobs/jobsShowCommand.ts
+++ b/src/cli/jobs/jobsShowCommand.ts
@@ -1,7 +1,7 @@
 import type { CliCommand } from '../CliCommand.js';
 import { buildJobPath } from '../http/buildJobPath.js';
 import { callApi } from '../http/callApi.js';
-import { buildRecordTable } from '../output/buildRecordTable.js';
+import { formatAnswer } from '../output/formatAnswer.js';
 import { jobSchema } from './jobSchema.js';
 
 /** Shows one job with its parts. */
@@ -15,6 +15,6 @@
     const [workspace = '', id = ''] = context.args;
     const path = buildJobPath(workspace, id);
     const answer = await callApi(context, jobSchema, { method: 'GET', path });
-    return answer.map((job) => ({ data: job, view: buildRecordTable(job) }));
+    return answer.map((job) => ({ data: job, view: formatAnswer(job) }));
   },
 };
--- a/test/cli/runCli.test.ts
+++ b/test/cli/runCli.test.ts
@@ -143,6 +143,15 @@
   expect(JSON.parse(json.out)).toEqual([{ name: 'labels', team: 'teddy', ...workspace }]);
 });
 
+// Guards against nested lists printed as one long line, and control characters in the terminal.
+test('lists inside an answer become tables', async () => {
+  const data = { lead: true, peers: [{ node: 'vm-1/gateway' }, { node: 'vm-2/\u001b[2J' }] };
+  const api = await serveApi(() => ({ ok: true, data }));
+  const { out } = await callCli(api.url, 'status');
+  await api.close();
+  expect(out).toBe('FIELD  VALUE\nlead   true\n\npeers:\nNODE\nvm-1/gateway\nvm-2/ [2J\n');
+});
+
 // Guards against a watch that ends at a takeover, or reports a failed job as success.
 test('watch outlasts a refusal and reports the end', async () => {
   const answers: CommandResult[] = [
