Accept the jobs that the core describes

Cause: the core answers null where a job has no start, end or reason; the commands expected such fields to be absent and failed. Cancelling a job that had already ended was printed as accepted. Change: fields of a shown job may be null; jobs cancel prints the state; explain job prints the scheduler's explanation; empty columns are left out. Conclusion: the form of the answers is now tied to the core by a test.

--- a/src/adapters/api/submitJobSchema.ts
+++ b/src/adapters/api/submitJobSchema.ts
@@ -4,7 +4,7 @@
 
 /** Body of a job submission. */
 export const submitJobSchema = z.strictObject({
-  zone: z.string().min(1).optional().describe('Zone of the job; chosen by the system if absent.'),
+  zone: z.string().min(1).optional().describe('Zone of the job; that of the gateway if absent.'),
   tasks: count.describe('Number of parts that run together.'),
   acceleratorsPerTask: count.describe('Accelerators of each part.'),
   adjacency: z
--- a/src/cli/explain/describeJob.ts
+++ b/src/cli/explain/describeJob.ts
@@ -14,16 +14,17 @@
 export const describeJob = (job: ShownJob): string => {
   const text = jobStateTexts[job.state as JobState] as string | undefined;
   const lines = [`Job ${job.id} is ${job.state}. ${text ?? ''}`.trim()];
-  if (job.reason !== undefined) lines.push(`Reason given by the scheduler: ${job.reason}`);
+  const words = job.explanation ?? job.reason;
+  if (typeof words === 'string') lines.push(`From the scheduler: ${words}`);
   if (job.spec) {
     const { tasks, acceleratorsPerTask, adjacency } = job.spec;
     lines.push(
       `It needs ${tasks} x ${acceleratorsPerTask} accelerators inside one ${adjacency}${
-        job.zone === undefined ? '' : ` of zone ${job.zone}`
+        typeof job.zone !== 'string' ? '' : ` of zone ${job.zone}`
       }.`,
     );
   }
-  if (job.attempt !== undefined) lines.push(`Gang starts so far: ${job.attempt}.`);
+  if (typeof job.attempt === 'number') lines.push(`Gang starts so far: ${job.attempt}.`);
   if (job.parts && job.parts.length > 0) lines.push(`Parts: ${countStates(job.parts)}.`);
   lines.push(
     `Submitted ${formatWall(job.submittedWall)}, started ${formatWall(job.startedWall)}, ended ${formatWall(job.endedWall)}.`,
--- a/src/cli/jobs/buildJobTable.ts
+++ b/src/cli/jobs/buildJobTable.ts
@@ -3,17 +3,27 @@
 import type { Table } from '../output/Table.js';
 import type { ShownJob } from './ShownJob.js';
 
-/** Builds the table of jobs. */
-export const buildJobTable = (jobs: readonly ShownJob[]): Table => ({
-  columns: ['job', 'state', 'zone', 'shape', 'attempt', 'submitted', 'started', 'reason'],
-  rows: jobs.map((job) => [
-    formatCell(job.id),
-    formatCell(job.state),
-    formatCell(job.zone),
-    job.spec ? `${job.spec.tasks}x${job.spec.acceleratorsPerTask} ${job.spec.adjacency}` : '-',
-    formatCell(job.attempt),
-    formatWall(job.submittedWall),
-    formatWall(job.startedWall),
-    formatCell(job.reason),
-  ]),
-});
+const formatShape = ({ spec }: ShownJob): string =>
+  spec ? `${spec.tasks}x${spec.acceleratorsPerTask} ${spec.adjacency}` : '-';
+
+const columns: Readonly<Record<string, (job: ShownJob) => string>> = {
+  job: ({ id }) => formatCell(id),
+  state: ({ state }) => formatCell(state),
+  zone: ({ zone }) => formatCell(zone),
+  shape: formatShape,
+  attempt: ({ attempt }) => formatCell(attempt),
+  submitted: ({ submittedWall }) => formatWall(submittedWall),
+  started: ({ startedWall }) => formatWall(startedWall),
+  reason: ({ reason }) => formatCell(reason),
+};
+
+/** Builds the table of jobs, without columns that are empty in every row. */
+export const buildJobTable = (jobs: readonly ShownJob[]): Table => {
+  const used = Object.entries(columns).filter(([, toCell]) =>
+    jobs.some((job) => toCell(job) !== '-'),
+  );
+  return {
+    columns: used.map(([name]) => name),
+    rows: jobs.map((job) => used.map(([, toCell]) => toCell(job))),
+  };
+};
--- a/src/cli/jobs/jobsCancelCommand.ts
+++ b/src/cli/jobs/jobsCancelCommand.ts
@@ -1,7 +1,8 @@
-import { z } from 'zod';
 import type { CliCommand } from '../CliCommand.js';
 import { buildJobPath } from '../http/buildJobPath.js';
 import { callApi } from '../http/callApi.js';
+import { buildJobTable } from './buildJobTable.js';
+import { jobSchema } from './jobSchema.js';
 
 /** Cancels one job. */
 export const jobsCancelCommand: CliCommand = {
@@ -13,7 +14,8 @@
   run: async (context) => {
     const [workspace = '', id = ''] = context.args;
     const path = buildJobPath(workspace, id);
-    const answer = await callApi(context, z.unknown(), { method: 'DELETE', path });
-    return answer.map((data) => ({ data, view: `Cancellation of ${id} accepted.` }));
+    const answer = await callApi(context, jobSchema, { method: 'DELETE', path });
+    // The state is printed, because a job that has already ended stays as it is.
+    return answer.map((job) => ({ data: job, view: buildJobTable([job]) }));
   },
 };
--- a/src/cli/jobs/jobsSubmitCommand.ts
+++ b/src/cli/jobs/jobsSubmitCommand.ts
@@ -14,7 +14,7 @@
     { flags: '--accelerators <count>', description: 'Accelerators of each part' },
     { flags: '--declared-ms <ms>', description: 'Expected run time in milliseconds' },
     { flags: '--adjacency <word>', description: 'worker, rack or zone (default: zone)' },
-    { flags: '--zone <zone>', description: 'Zone of the job (default: chosen by the system)' },
+    { flags: '--zone <zone>', description: 'Zone of the job (default: that of the gateway)' },
     { flags: '--payload <text>', description: 'Opaque input for the worker' },
     { flags: '--preemptible', description: 'The job may borrow capacity and be checkpointed' },
     { flags: '--urgent', description: 'Reclaim lent capacity at once' },
--- a/src/cli/jobs/jobsWatchCommand.ts
+++ b/src/cli/jobs/jobsWatchCommand.ts
@@ -25,7 +25,7 @@
   error.type === 'unreachable' || (error.type === 'refused' && error.problem.status >= 500);
 
 const describeState = (job: ShownJob): string =>
-  `${job.id}: ${job.state}${job.reason === undefined ? '' : ` (${job.reason})`}`;
+  `${job.id}: ${job.state}${typeof job.reason !== 'string' ? '' : ` (${job.reason})`}`;
 
 const waitForEnd = async (
   context: CliContext,
--- a/src/cli/output/formatWall.ts
+++ b/src/cli/output/formatWall.ts
@@ -1,3 +1,3 @@
 /** Formats epoch milliseconds as a UTC time. */
-export const formatWall = (wall: number | undefined): string =>
-  wall === undefined ? '-' : new Date(wall).toISOString();
+export const formatWall = (wall: number | null | undefined): string =>
+  wall === undefined || wall === null ? '-' : new Date(wall).toISOString();
--- a/test/cli/runCli.test.ts
+++ b/test/cli/runCli.test.ts
@@ -4,6 +4,8 @@
 import path from 'node:path';
 import { expect, test } from '@jest/globals';
 import type { CommandResult } from '../../src/core/commands/CommandResult.js';
+import { createJob } from '../../src/core/jobs/createJob.js';
+import { describeJob } from '../../src/core/jobs/describeJob.js';
 import type { Refusal } from '../../src/core/Refusal.js';
 import { callCli } from '../support/callCli.js';
 import { serveApi } from '../support/serveApi.js';
@@ -152,6 +154,30 @@
   expect(out).toBe('FIELD  VALUE\nlead   true\n\npeers:\nNODE\nvm-1/gateway\nvm-2/ [2J\n');
 });
 
+const describeNewJob = (id: string) =>
+  describeJob(
+    createJob({
+      ...{ id, workspace: 'transects', zone: 'a', submittedWall: 0, phaseAt: 0 },
+      spec: {
+        ...{ tasks: 2, acceleratorsPerTask: 4, adjacency: 'rack', declaredMs: 1000 },
+        ...{ preemptible: false, urgent: false, payload: '' },
+      },
+    }),
+  );
+
+// Guards against an answer of the core whose form the commands do not accept.
+test.each([
+  ['list', 'labels'],
+  ['show', 'labels', 'j1'],
+  ['cancel', 'labels', 'j1'],
+])('jobs %s accepts the answer of the core', async (...argv) => {
+  const job = describeNewJob('j1');
+  const api = await serveApi(({ kind }) => ({ ok: true, data: kind === 'listJobs' ? [job] : job }));
+  const { code, out, errors } = await callCli(api.url, 'jobs', ...argv);
+  await api.close();
+  expect([code, errors, out]).toEqual([0, '', expect.stringMatching(/j1[\s\S]*queued/)]);
+});
+
 // Guards against a watch that ends at a takeover, or reports a failed job as success.
 test('watch outlasts a refusal and reports the end', async () => {
   const answers: CommandResult[] = [
@@ -173,14 +199,14 @@
       return { ok: true, data: { ...snapshot, tree: { zones: {}, teams } } };
     }
     return command.kind === 'showJob' && command.workspace === 'transects'
-      ? { ok: true, data: { id: 'j1', state: 'queued', reason: 'waits for 8 accelerators' } }
+      ? { ok: true, data: { ...describeNewJob('j1'), explanation: 'Needs 2 parts.' } }
       : refuse({ reason: 'unknown-job', outcome: 'not-run' });
   });
   const { code, out } = await callCli(api.url, 'explain', 'job', 'j1');
   await api.close();
   expect(code).toBe(0);
   expect(out).toContain('waits until all its parts fit at once');
-  expect(out).toContain('waits for 8 accelerators');
+  expect(out).toContain('Needs 2 parts.');
 });
 
 // Guards against an error of the worker that a script takes for success.
