Print usage and invoices

Cause: operators need the use of a workspace by job, and an invoice whose sum can be traced to its lines. Ruled out: building the invoice in the command line; the recorder builds it, and the command only checks the form of the answer and prints it. Change: usage and invoice share one reader. Both list unknown use, tasks without a recorded end or start, and records that the log no longer holds. Conclusion: the recorder's own answer is not yet part of a test.

--- a/src/cli/cliCommands.ts
+++ b/src/cli/cliCommands.ts
@@ -1,5 +1,6 @@
 import type { CliCommand } from './CliCommand.js';
 import { explainJobCommand } from './explain/explainJobCommand.js';
+import { invoiceCommand } from './invoice/invoiceCommand.js';
 import { jobsCancelCommand } from './jobs/jobsCancelCommand.js';
 import { jobsListCommand } from './jobs/jobsListCommand.js';
 import { jobsShowCommand } from './jobs/jobsShowCommand.js';
@@ -30,4 +31,5 @@
   requestCommand,
   statusCommand,
   usageCommand,
+  invoiceCommand,
 ];
--- /dev/null
+++ b/src/cli/usage/describeGaps.ts
@@ -0,0 +1,45 @@
+import { formatCell } from '../output/formatCell.js';
+import { formatTable } from '../output/formatTable.js';
+import { formatWall } from '../output/formatWall.js';
+import type { ShownInvoice } from './ShownInvoice.js';
+
+const formatSection = (title: string, columns: string[], rows: string[][]): string[] =>
+  rows.length === 0 ? [] : [`${title}:\n${formatTable({ columns, rows })}`];
+
+const describeLoss = ({ oldestOffset = 0 }: ShownInvoice): string[] =>
+  oldestOffset === 0
+    ? []
+    : [
+        `The log no longer holds records before offset ${oldestOffset}. Use that was recorded only there is missing.`,
+      ];
+
+/** Describes what an invoice does not know; none of it is part of a sum. */
+export const describeGaps = (invoice: ShownInvoice): string[] => [
+  ...formatSection(
+    'Unknown use, not in any sum',
+    ['job', 'task', 'accelerators', 'from', 'to', 'settled by'],
+    invoice.unknown.map((gap) => [
+      ...[gap.jobId, gap.taskId, gap.accelerators].map(formatCell),
+      formatWall(gap.fromWall),
+      formatWall(gap.toWall),
+      formatCell(gap.settledBy),
+    ]),
+  ),
+  ...formatSection(
+    'Tasks without a recorded end, not in any sum',
+    ['job', 'task', 'accelerators', 'started'],
+    invoice.openTasks.map((open) => [
+      ...[open.jobId, open.taskId, open.accelerators].map(formatCell),
+      formatWall(open.startedWall),
+    ]),
+  ),
+  ...formatSection(
+    'Tasks without a recorded start, not in any sum',
+    ['job', 'task', 'accelerators', 'ended'],
+    invoice.tasksWithoutStart.map((ended) => [
+      ...[ended.jobId, ended.taskId, ended.accelerators].map(formatCell),
+      formatWall(ended.endedWall),
+    ]),
+  ),
+  ...describeLoss(invoice),
+];
--- /dev/null
+++ b/src/cli/usage/formatUsage.ts
@@ -0,0 +1,19 @@
+import { formatCell } from '../output/formatCell.js';
+import { formatTable } from '../output/formatTable.js';
+import { describeGaps } from './describeGaps.js';
+import { formatHours } from './formatHours.js';
+import type { ShownInvoice } from './ShownInvoice.js';
+
+/** Formats the use of a workspace by job. */
+export const formatUsage = (invoice: ShownInvoice): string => {
+  const { answered, failed, unknown, busyMs } = invoice.requests;
+  const rows = invoice.jobs.map((job) => [formatCell(job.jobId), formatHours(job.acceleratorMs)]);
+  return [
+    formatTable({
+      columns: ['job', 'accelerator hours'],
+      rows: [...rows, ['(all)', formatHours(invoice.acceleratorMs)]],
+    }),
+    `Short requests: ${answered} answered, ${failed} failed, ${unknown} unknown; busy ${formatHours(busyMs)} h.`,
+    ...describeGaps(invoice),
+  ].join('\n\n');
+};
--- /dev/null
+++ b/src/cli/usage/invoiceSchema.ts
@@ -0,0 +1,40 @@
+import { z } from 'zod';
+
+const task = { jobId: z.string(), taskId: z.string(), accelerators: z.number() };
+
+const runSchema = z.looseObject({
+  ...{ kind: z.literal('run'), taskId: z.string(), accelerators: z.number() },
+  ...{ fromWall: z.number(), toWall: z.number(), acceleratorMs: z.number() },
+});
+
+const correctionSchema = z.looseObject({
+  ...{ kind: z.literal('correction'), id: z.string(), taskId: z.string() },
+  ...{ accelerators: z.number(), wall: z.number(), acceleratorMs: z.number() },
+});
+
+/** Use of a workspace in a period as the recorder reports it; times are epoch milliseconds. */
+export const invoiceSchema = z.looseObject({
+  workspace: z.string(),
+  fromWall: z.number(),
+  toWall: z.number(),
+  acceleratorMs: z.number(),
+  jobs: z.array(
+    z.looseObject({
+      jobId: z.string(),
+      acceleratorMs: z.number(),
+      lines: z.array(z.discriminatedUnion('kind', [runSchema, correctionSchema])),
+    }),
+  ),
+  requests: z.looseObject({
+    ...{ answered: z.number(), failed: z.number(), unknown: z.number(), busyMs: z.number() },
+  }),
+  unknown: z.array(
+    z.looseObject({
+      ...{ ...task, fromWall: z.number(), toWall: z.number(), settledBy: z.string().nullish() },
+    }),
+  ),
+  openTasks: z.array(z.looseObject({ ...task, startedWall: z.number() })),
+  tasksWithoutStart: z.array(z.looseObject({ ...task, endedWall: z.number() })),
+  /** Oldest offset that the log still holds; records before it are missing. */
+  oldestOffset: z.int().optional(),
+});
