Add the stand-in for the log service

Cause: the recorder needs a log with offsets, retention, outages and lost append answers to run against. Ruled out: delaying an append before it takes effect, because a slow answer after the effect is the harder case for the caller and covers both. Change: standins/shared with the loop, the timer and the HTTP adapter that every stand-in uses; standins/log with a reducer, a handler table and a hono adapter. Conclusion: the log can be used by other parts as a separate program.

--- /dev/null
+++ b/standins/log/LogPoll.ts
@@ -0,0 +1,7 @@
+/** A read that waits for records. */
+export interface LogPoll {
+  stream: string;
+  from: number;
+  limit: number;
+  until: number;
+}
--- /dev/null
+++ b/standins/log/createLogState.ts
@@ -0,0 +1,14 @@
+import type { LogState } from './LogState.js';
+
+/** Creates an empty log. */
+export const createLogState = (options: {
+  retentionMs: number;
+  appendsPerSecond: number;
+}): LogState => ({
+  ...options,
+  tokens: options.appendsPerSecond,
+  tokensAt: 0,
+  streams: new Map(),
+  polls: new Map(),
+  faults: { outage: false, delayMs: 0, loseAppendAnswers: 0 },
+});
--- /dev/null
+++ b/standins/log/main.ts
@@ -0,0 +1,4 @@
+import { startLog } from './startLog.js';
+
+/** The running log service. */
+export const main = startLog(process.argv);
--- /dev/null
+++ b/standins/log/readRecords.ts
@@ -0,0 +1,16 @@
+import type { KeptRecord } from './KeptRecord.js';
+import type { StreamState } from './StreamState.js';
+
+/** Builds the answer of a read; an offset out of range starts at the nearest valid one. */
+export const readRecords = (
+  stream: StreamState,
+  from: number,
+  limit: number,
+): { records: KeptRecord[]; nextOffset: number; oldestOffset: number } => {
+  const oldestOffset = stream.nextOffset - stream.kept.length;
+  const start = Math.min(Math.max(from, oldestOffset), stream.nextOffset);
+  const records = stream.kept
+    .slice(start - oldestOffset, start - oldestOffset + limit)
+    .map((entry) => entry.record);
+  return { records, nextOffset: start + records.length, oldestOffset };
+};
--- /dev/null
+++ b/standins/shared/Push.ts
@@ -0,0 +1,2 @@
+/** Hands an event to the loop. */
+export type Push<E> = (event: E) => void;
--- /dev/null
+++ b/standins/shared/TickEvent.ts
@@ -0,0 +1,4 @@
+/** The time asked for by the last `wake` effect has come. */
+export interface TickEvent {
+  type: 'tick';
+}
--- /dev/null
+++ b/standins/shared/Timed.ts
@@ -0,0 +1,7 @@
+/** An event with the time at which the loop took it from its queue. */
+export type Timed<E> = E & {
+  /** Monotonic milliseconds; comparable between processes of one machine. */
+  at: number;
+  /** Epoch milliseconds. */
+  wall: number;
+};
--- /dev/null
+++ b/standins/shared/createAlarm.ts
@@ -0,0 +1,19 @@
+import type { EffectRunners } from './EffectRunners.js';
+import type { Push } from './Push.js';
+import { readClock } from './readClock.js';
+import type { TickEvent } from './TickEvent.js';
+import type { TimerEffect } from './TimerEffect.js';
+
+/** Creates the runner of `wake` effects: one timer that pushes a `tick`. */
+export const createAlarm = (push: Push<TickEvent>): EffectRunners<TimerEffect> => {
+  let timer: NodeJS.Timeout | undefined;
+  return {
+    wake: ({ at }) => {
+      clearTimeout(timer);
+      if (at === null) return;
+      // Node caps timers at 2^31 - 1 ms and fires longer ones at once.
+      const delayMs = Math.min(Math.max(Math.ceil(at - readClock().at), 0), 2 ** 31 - 1);
+      timer = setTimeout(() => push({ type: 'tick' }), delayMs);
+    },
+  };
+};
--- /dev/null
+++ b/test/standins/log/reduceLog.test.ts
@@ -0,0 +1,76 @@
+import { expect, test } from '@jest/globals';
+import { createLogState } from '../../../standins/log/createLogState.js';
+import type { LogServiceEvent } from '../../../standins/log/LogServiceEvent.js';
+import { reduceLog } from '../../../standins/log/reduceLog.js';
+
+const createLog = (appendsPerSecond = 0) => {
+  const state = createLogState({ retentionMs: 1000, appendsPerSecond });
+  return (at: number, event: LogServiceEvent) =>
+    reduceLog(state, { ...event, at, wall: at }).filter((effect) => effect.type !== 'wake');
+};
+const append = (requestId: string, ...records: unknown[]): LogServiceEvent => ({
+  type: 'appendRequested',
+  requestId,
+  stream: 's',
+  records,
+});
+const read = (requestId: string, from: number, waitMs = 0): LogServiceEvent => ({
+  type: 'readRequested',
+  requestId,
+  stream: 's',
+  from,
+  limit: 10,
+  waitMs,
+});
+
+// Guards against a reader that loses its place when retention has passed it.
+test('read older than retention', () => {
+  const run = createLog();
+  run(0, append('a', 'old'));
+  run(900, append('b', 'new'));
+  expect(run(1500, read('c', 0))).toMatchObject([
+    {
+      status: 200,
+      body: { records: [{ offset: 1, data: 'new' }], nextOffset: 2, oldestOffset: 1 },
+    },
+  ]);
+});
+
+// Guards against a long poll that misses an append or is answered twice.
+test('long poll', () => {
+  const run = createLog();
+  expect(run(0, read('p', 0, 500))).toEqual([]);
+  expect(run(10, append('a', 1))).toMatchObject([
+    { requestId: 'a', body: { firstOffset: 0 } },
+    { requestId: 'p', body: { records: [{ offset: 0, data: 1 }], nextOffset: 1 } },
+  ]);
+  expect(run(600, { type: 'tick' })).toEqual([]);
+  run(700, read('q', 1, 100));
+  expect(run(800, { type: 'tick' })).toMatchObject([{ requestId: 'q', body: { nextOffset: 1 } }]);
+});
+
+// Guards against a lost answer whose append did not take effect.
+test('lost append answer', () => {
+  const run = createLog();
+  run(0, { type: 'faultsRequested', requestId: 'f', faults: { loseAppendAnswers: 1 } });
+  expect(run(1, append('a', 1))).toMatchObject([{ type: 'destroyConnection', requestId: 'a' }]);
+  expect(run(2, append('b', 2))).toMatchObject([{ type: 'answer', body: { firstOffset: 1 } }]);
+});
+
+// Guards against an outage that still accepts appends or leaves polls without an answer.
+test('outage', () => {
+  const run = createLog();
+  run(0, read('p', 0, 500));
+  const fault = { type: 'faultsRequested', requestId: 'f', faults: { outage: true } } as const;
+  expect(run(1, fault)).toMatchObject([{ requestId: 'p', status: 503 }, { status: 200 }]);
+  expect(run(2, append('a', 1))).toMatchObject([{ status: 503 }]);
+  run(3, { ...fault, faults: { outage: false } });
+  expect(run(4, read('b', 0))).toMatchObject([{ body: { records: [], nextOffset: 0 } }]);
+});
+
+// Guards against a limit that never refills.
+test('append rate', () => {
+  const run = createLog(2);
+  const statuses = [0, 1, 2, 600].map((at) => run(at, append('a', at))[0]);
+  expect(statuses).toMatchObject([200, 200, 429, 200].map((status) => ({ status })));
+});
