Add the stand-in for a backend server

Ruled out: an immediate answer to a checkpoint call, because the answer then cannot carry the checkpoint; a fault that refuses connections until it is cleared, because the call that clears it would be refused too, so it ends after a given time. Change: standins/worker with a reducer over lease, task, usage and short request events; work advances at a rate that falls when slots or accelerators are over their number. Short answers are streamed and padded with the id of their request. Conclusion: the control interface, usage and faults can be used by other parts.

--- /dev/null
+++ b/standins/worker/ShortRequest.ts
@@ -0,0 +1,17 @@
+/** A short request that is being served. */
+export interface ShortRequest {
+  method: string;
+  path: string;
+  /** Header `siskin-attempt`. */
+  attemptId: string | null;
+  /** Header `siskin-request`. */
+  siskinRequest: string | null;
+  requestBodyBytes: number;
+  answerBytes: number;
+  status: number;
+  phase: 'working' | 'answering';
+  /** Work left before the answer, in milliseconds at speed 1. */
+  remainingMs: number;
+  /** Whether the caller left; the work goes on to its end. */
+  callerGone: boolean;
+}
--- /dev/null
+++ b/standins/worker/TaskPayload.ts
@@ -0,0 +1,8 @@
+/** What a task does, as its payload says. */
+export interface TaskPayload {
+  /** Run time at speed 1 without overload. */
+  runMs: number;
+  /** Whether the task fails at the end of its run time. */
+  fail: boolean;
+  checkpointMs: number;
+}
--- /dev/null
+++ b/standins/worker/UsageLine.ts
@@ -0,0 +1,10 @@
+/** One line of the worker's usage report: a task that ran and ended. */
+export interface UsageLine {
+  seq: number;
+  taskId: string;
+  jobId: string;
+  workspace: string;
+  accelerators: number;
+  startedWall: number;
+  endedWall: number;
+}
--- /dev/null
+++ b/standins/worker/findNextDue.ts
@@ -0,0 +1,20 @@
+import type { BackendState } from './BackendState.js';
+import { computeRate } from './computeRate.js';
+
+/** Finds the time at which the next work, checkpoint or lease ends. */
+export const findNextDue = (state: BackendState, at: number): number | null => {
+  const rate = computeRate(state);
+  let due = Infinity;
+  state.tasks.forEach((task) => {
+    if (task.endedAt !== null) return;
+    due = Math.min(due, task.leaseUntil);
+    if (task.state === 'running') due = Math.min(due, at + task.remainingMs / rate / task.share);
+    if (task.state === 'checkpointing' && !state.faults.hangCheckpoint) {
+      due = Math.min(due, task.checkpointUntil);
+    }
+  });
+  state.requests.forEach((request) => {
+    if (request.phase === 'working') due = Math.min(due, at + request.remainingMs / rate);
+  });
+  return due === Infinity ? null : due;
+};
--- /dev/null
+++ b/standins/worker/recordRequest.ts
@@ -0,0 +1,23 @@
+import type { BackendState } from './BackendState.js';
+import type { ShortRequest } from './ShortRequest.js';
+
+/** Adds a short request's start, or its end with an outcome, to the journal. */
+export const recordRequest = (
+  state: BackendState,
+  request: ShortRequest,
+  { at, wall }: { at: number; wall: number },
+  outcome?: 'answered' | 'interrupted',
+): void => {
+  const { attemptId, siskinRequest, method, path } = request;
+  state.journal.push({
+    seq: state.journal.length + 1,
+    at,
+    wall,
+    kind: outcome ? 'requestEnded' : 'requestStarted',
+    attemptId,
+    siskinRequest,
+    method,
+    path,
+    ...(outcome ? { outcome } : {}),
+  });
+};
--- /dev/null
+++ b/standins/worker/recordTask.ts
@@ -0,0 +1,26 @@
+import type { BackendState } from './BackendState.js';
+import type { WorkerTask } from './WorkerTask.js';
+
+/** Adds a task's start or end to the journal. */
+export const recordTask = (
+  state: BackendState,
+  kind: 'taskStarted' | 'taskEnded',
+  task: WorkerTask,
+  { at, wall }: { at: number; wall: number },
+): void => {
+  const { taskId, jobId, workspace, attempt, index, parts, accelerators } = task;
+  state.journal.push({
+    seq: state.journal.length + 1,
+    at,
+    wall,
+    kind,
+    taskId,
+    jobId,
+    workspace,
+    attempt,
+    index,
+    parts,
+    accelerators,
+    state: task.state,
+  });
+};
--- /dev/null
+++ b/standins/worker/taskHandlers.ts
@@ -0,0 +1,86 @@
+import { answerTask } from './answerTask.js';
+import type { BackendHandlers } from './BackendHandlers.js';
+import { finishTask } from './finishTask.js';
+import { parsePayload } from './parsePayload.js';
+import { recordTask } from './recordTask.js';
+
+const readDoneMs = (checkpoint: string | undefined): number =>
+  Number(checkpoint?.match(/^checkpoint:.*:(\d+)$/)?.[1] ?? 0);
+
+/** Handlers of calls to tasks; each may be repeated without a further effect. */
+export const taskHandlers: Pick<
+  BackendHandlers,
+  | 'prepareRequested'
+  | 'startRequested'
+  | 'stopRequested'
+  | 'checkpointRequested'
+  | 'throttleRequested'
+> = {
+  prepareRequested: (state, { requestId, task: call, at }) => {
+    const known = state.tasks.get(call.taskId);
+    if (known) return [answerTask(state, requestId, known.endedAt === null, known)];
+    const { leaseMs, payload: text, ...spec } = call;
+    const payload = parsePayload(text);
+    state.tasks.set(call.taskId, {
+      ...spec,
+      payload,
+      state: 'prepared',
+      ranMs: 0,
+      remainingMs: Math.max(payload.runMs - readDoneMs(call.checkpoint), 0),
+      share: 1,
+      leaseUntil: at + leaseMs,
+      startedWall: null,
+      endedAt: null,
+      endReported: false,
+      checkpointUntil: 0,
+      checkpointWaiters: [],
+    });
+    return [answerTask(state, requestId, true, state.tasks.get(call.taskId))];
+  },
+
+  startRequested: (state, { requestId, taskId, at, wall }) => {
+    const task = state.tasks.get(taskId);
+    if (task?.state === 'prepared') {
+      task.state = 'running';
+      task.startedWall = wall;
+      if (state.faults.failEverything) {
+        task.remainingMs = 0;
+        task.payload.fail = true;
+      }
+      recordTask(state, 'taskStarted', task, { at, wall });
+    }
+    const started = task !== undefined && task.startedWall !== null;
+    return [answerTask(state, requestId, started, task)];
+  },
+
+  // An unknown task is not running either, so its stop is accepted.
+  stopRequested: (state, { requestId, taskId, at, wall }) => {
+    const task = state.tasks.get(taskId);
+    const open = task !== undefined && task.endedAt === null;
+    return [
+      ...(open ? finishTask(state, task, 'stopped', { at, wall }) : []),
+      answerTask(state, requestId, true, task),
+    ];
+  },
+
+  // The task pauses while it is checkpointed and then runs on; the call is answered at the end.
+  checkpointRequested: (state, { requestId, taskId, at }) => {
+    const task = state.tasks.get(taskId);
+    if (task?.state !== 'running' && task?.state !== 'checkpointing') {
+      return [answerTask(state, requestId, false, task)];
+    }
+    if (task.state === 'running') {
+      task.state = 'checkpointing';
+      task.checkpointUntil = at + task.payload.checkpointMs;
+    }
+    task.checkpointWaiters.push(requestId);
+    return [];
+  },
+
+  throttleRequested: (state, { requestId, taskId, share }) => {
+    const task = state.tasks.get(taskId);
+    const open = task !== undefined && task.endedAt === null;
+    if (open) task.share = share;
+    return [answerTask(state, requestId, open, task)];
+  },
+};
--- /dev/null
+++ b/standins/worker/updateProgress.ts
@@ -0,0 +1,66 @@
+import type { BackendEffect } from './BackendEffect.js';
+import type { BackendState } from './BackendState.js';
+import { computeRate } from './computeRate.js';
+import { recordRequest } from './recordRequest.js';
+import type { ShortRequest } from './ShortRequest.js';
+import { updateTask } from './updateTask.js';
+
+// Ended tasks stay in reports this long, so that a new holder still learns of their end.
+const keepEndedMs = 30_000;
+
+const serveRequest = (
+  state: BackendState,
+  requestId: string,
+  request: ShortRequest,
+): BackendEffect => {
+  const { method, path, attemptId, siskinRequest, requestBodyBytes, answerBytes, status } = request;
+  return {
+    type: 'serveRequest',
+    requestId,
+    status,
+    echo: { method, path, worker: state.id, requestBodyBytes, attemptId, siskinRequest },
+    pad: `${siskinRequest ?? requestId} `,
+    answerBytes,
+    truncate: state.faults.truncateAnswers,
+  };
+};
+
+const finishWork = (
+  state: BackendState,
+  requestId: string,
+  request: ShortRequest,
+  time: { at: number; wall: number },
+): BackendEffect[] => {
+  if (request.phase !== 'working' || request.remainingMs > 0) return [];
+  if (request.callerGone) {
+    state.requests.delete(requestId);
+    recordRequest(state, request, time, 'interrupted');
+    return [];
+  }
+  request.phase = 'answering';
+  return [serveRequest(state, requestId, request)];
+};
+
+/** Counts the work done since the last event and ends what is due. */
+export const updateProgress = (
+  state: BackendState,
+  time: { at: number; wall: number },
+): BackendEffect[] => {
+  const elapsedMs = time.at - state.progressAt;
+  const doneMs = elapsedMs * computeRate(state);
+  state.progressAt = time.at;
+  state.tasks.forEach((task) => {
+    if (task.state === 'running') task.remainingMs -= doneMs * task.share;
+    if (task.startedWall !== null && task.endedAt === null) task.ranMs += elapsedMs;
+    if (task.endReported && time.at - (task.endedAt ?? time.at) >= keepEndedMs) {
+      state.tasks.delete(task.taskId);
+    }
+  });
+  state.requests.forEach((request) => {
+    if (request.phase === 'working') request.remainingMs -= doneMs;
+  });
+  return [
+    ...[...state.tasks.values()].flatMap((task) => updateTask(state, task, time)),
+    ...[...state.requests].flatMap(([id, request]) => finishWork(state, id, request, time)),
+  ];
+};
--- /dev/null
+++ b/standins/worker/updateTask.ts
@@ -0,0 +1,32 @@
+import { answerTask } from './answerTask.js';
+import type { BackendEffect } from './BackendEffect.js';
+import type { BackendState } from './BackendState.js';
+import { finishTask } from './finishTask.js';
+import type { WorkerTask } from './WorkerTask.js';
+
+const finishCheckpoint = (state: BackendState, task: WorkerTask): BackendEffect[] => {
+  const waiters = task.checkpointWaiters;
+  const doneMs = Math.round(task.payload.runMs - task.remainingMs);
+  Object.assign(task, {
+    state: 'running',
+    checkpoint: `checkpoint:${task.taskId}:${doneMs}`,
+    checkpointWaiters: [],
+  });
+  return waiters.map((requestId) => answerTask(state, requestId, true, task));
+};
+
+/** Applies what became due for a task: the end of its lease, its checkpoint or its work. */
+export const updateTask = (
+  state: BackendState,
+  task: WorkerTask,
+  time: { at: number; wall: number },
+): BackendEffect[] => {
+  if (task.endedAt !== null) return [];
+  if (task.leaseUntil <= time.at) return finishTask(state, task, 'stopped', time);
+  if (task.state === 'checkpointing') {
+    const due = task.checkpointUntil <= time.at && !state.faults.hangCheckpoint;
+    return due ? finishCheckpoint(state, task) : [];
+  }
+  if (task.state !== 'running' || task.remainingMs > 0) return [];
+  return finishTask(state, task, task.payload.fail ? 'failed' : 'finished', time);
+};
--- /dev/null
+++ b/test/standins/worker/reduceWorker.test.ts
@@ -0,0 +1,211 @@
+import { expect, test } from '@jest/globals';
+import type { BackendEffect } from '../../../standins/worker/BackendEffect.js';
+import type { BackendEvent } from '../../../standins/worker/BackendEvent.js';
+import { createBackendState } from '../../../standins/worker/createBackendState.js';
+import { reduceWorker } from '../../../standins/worker/reduceWorker.js';
+import type { WorkerFaults } from '../../../standins/worker/WorkerFaults.js';
+
+const createWorker = () => {
+  const state = createBackendState(
+    { id: 'w', incarnation: 'w/1', slots: 2, accelerators: 8, speed: 1, usageLagMs: 100 },
+    0,
+  );
+  const run = (at: number, event: BackendEvent): BackendEffect[] =>
+    reduceWorker(state, { ...event, at, wall: 1000 + at });
+  const listTasks = () =>
+    [...state.tasks.values()].map((task) => [task.taskId, task.state, task.ranMs]);
+  return { state, run, listTasks };
+};
+const findAnswer = (effects: BackendEffect[], requestId: string) =>
+  effects.flatMap((e) => (e.type === 'answer' && e.requestId === requestId ? [e.body] : []))[0];
+const prepare = (taskId: string, payload: object, more = {}): BackendEvent => ({
+  type: 'prepareRequested',
+  requestId: 'prepare',
+  task: {
+    taskId,
+    jobId: 'j',
+    workspace: 'ws',
+    attempt: 1,
+    index: 0,
+    parts: 1,
+    accelerators: 8,
+    leaseMs: 8000,
+    payload: JSON.stringify(payload),
+    ...more,
+  },
+});
+const call = (type: 'startRequested' | 'stopRequested' | 'checkpointRequested', taskId: string) =>
+  ({ type, requestId: type, taskId }) as const;
+const renew = (holder: string, ...renewTasks: string[]): BackendEvent => ({
+  type: 'leaseRenewed',
+  requestId: holder,
+  holder,
+  taskLeaseMs: 8000,
+  renewTasks,
+});
+const short = (requestId: string, remainingMs: number): BackendEvent => ({
+  type: 'shortRequested',
+  requestId,
+  request: {
+    method: 'GET',
+    path: '/p',
+    attemptId: `attempt-${requestId}`,
+    siskinRequest: null,
+    requestBodyBytes: 0,
+    answerBytes: 0,
+    status: 200,
+    remainingMs,
+  },
+});
+const setFaults = (faults: Partial<WorkerFaults>): BackendEvent => ({
+  type: 'faultsRequested',
+  requestId: 'f',
+  faults,
+  refuseConnectionsMs: 0,
+});
+
+// Guards against an answer that names the caller's own renewal, which would allow two holders.
+test('lease answer describes the time before', () => {
+  const { run } = createWorker();
+  const renewal = (holder: string | null, ageMs: number, released = false) => ({
+    lastRenewal: { holder, ageMs, released },
+  });
+  expect(findAnswer(run(50, renew('a')), 'a')).toMatchObject(renewal(null, 50));
+  run(60, { type: 'leaseRead', requestId: 'probe' });
+  expect(findAnswer(run(80, renew('b')), 'b')).toMatchObject(renewal('a', 30));
+  run(90, { type: 'leaseReleased', requestId: 'x', holder: 'a' });
+  expect(findAnswer(run(95, renew('b')), 'b')).toMatchObject(renewal('b', 15));
+  run(96, { type: 'leaseReleased', requestId: 'x', holder: 'b' });
+  expect(findAnswer(run(97, renew('c')), 'c')).toMatchObject(renewal('b', 2, true));
+});
+
+// Guards against a repeated call that restarts or revives a task.
+test('repeated task calls', () => {
+  const { run, state, listTasks } = createWorker();
+  run(0, prepare('t', { runMs: 500 }));
+  run(1, prepare('t', { runMs: 9 }));
+  [10, 20].forEach((at) => {
+    expect(findAnswer(run(at, call('startRequested', 't')), 'startRequested')).toEqual({
+      accepted: true,
+    });
+  });
+  expect(run(20, { type: 'tick' }).at(-1)).toEqual({ type: 'wake', at: 510 });
+  run(510, { type: 'tick' });
+  run(511, call('stopRequested', 't'));
+  expect(listTasks()).toEqual([['t', 'finished', 500]]);
+  expect(findAnswer(run(512, prepare('t', {})), 'prepare')).toEqual({ accepted: false });
+  expect(state.journal.map(({ kind, at }) => [kind, at])).toEqual([
+    ['taskStarted', 10],
+    ['taskEnded', 510],
+  ]);
+});
+
+// Guards against a task that outlives its lease, which would break the bound of P2.
+test('lapsed task lease', () => {
+  const { run, listTasks } = createWorker();
+  run(0, prepare('kept', { runMs: 60_000 }, { accelerators: 1 }));
+  run(0, prepare('lapsed', { runMs: 60_000 }, { accelerators: 1 }));
+  run(0, call('startRequested', 'kept'));
+  run(0, call('startRequested', 'lapsed'));
+  run(5000, renew('a', 'kept'));
+  expect(run(5000, { type: 'tick' }).at(-1)).toEqual({ type: 'wake', at: 8000 });
+  run(8000, { type: 'tick' });
+  expect(listTasks()).toEqual([
+    ['kept', 'running', 8000],
+    ['lapsed', 'stopped', 8000],
+  ]);
+});
+
+// Guards against a report that forgets an end which no holder has seen yet.
+test('ended task stays until reported', () => {
+  const { run, state } = createWorker();
+  run(0, prepare('t', { runMs: 0 }));
+  run(0, call('startRequested', 't'));
+  run(40_000, { type: 'leaseRead', requestId: 'probe' });
+  expect(findAnswer(run(70_000, renew('a')), 'a')).toMatchObject({ tasks: [{ taskId: 't' }] });
+  run(70_001, { type: 'tick' });
+  expect(state.tasks.size).toBe(0);
+});
+
+// Guards against a worker that refuses or queues what does not fit, or serves it at full speed.
+test('overload slows everything', () => {
+  const { run, listTasks } = createWorker();
+  ['a', 'b'].forEach((id) => {
+    run(0, prepare(id, { runMs: 1000 }));
+    run(0, call('startRequested', id));
+  });
+  run(1000, { type: 'tick' });
+  expect(listTasks().map(([, state]) => state)).toEqual(['running', 'running']);
+  run(2000, { type: 'tick' });
+  expect(listTasks().map(([, state]) => state)).toEqual(['finished', 'finished']);
+});
+
+// Guards against a checkpoint without the work done, or one that ends in spite of the fault.
+test('checkpoint', () => {
+  const { run } = createWorker();
+  run(0, prepare('t', { runMs: 1000, checkpointMs: 50 }));
+  run(0, call('startRequested', 't'));
+  run(1, setFaults({ hangCheckpoint: true }));
+  expect(findAnswer(run(300, call('checkpointRequested', 't')), 'checkpointRequested')).toBe(
+    undefined,
+  );
+  expect(run(400, { type: 'tick' })).toEqual([{ type: 'wake', at: 8000 }]);
+  run(401, setFaults({ hangCheckpoint: false }));
+  const checkpoint = 'checkpoint:t:300';
+  expect(findAnswer(run(402, { type: 'tick' }), 'checkpointRequested')).toEqual({
+    accepted: true,
+    checkpoint,
+  });
+  run(403, call('stopRequested', 't'));
+  run(404, prepare('t2', { runMs: 1000 }, { checkpoint }));
+  expect(run(404, call('startRequested', 't2')).at(-1)).toEqual({ type: 'wake', at: 1104 });
+});
+
+// Guards against usage that appears before the lag, or for a task that never ran.
+test('usage lags', () => {
+  const { run } = createWorker();
+  run(0, prepare('idle', {}));
+  run(0, call('stopRequested', 'idle'));
+  run(0, prepare('t', { runMs: 10, fail: true }));
+  run(5, call('startRequested', 't'));
+  run(15, { type: 'tick' });
+  const read = { type: 'usageRead', requestId: 'u', after: 0 } as const;
+  expect(findAnswer(run(114, read), 'u')).toMatchObject({ lines: [] });
+  expect(findAnswer(run(115, read), 'u')).toMatchObject({
+    lines: [{ seq: 1, taskId: 't', startedWall: 1005, endedWall: 1015 }],
+  });
+});
+
+// Guards against a request that disappears from the journal when its caller leaves.
+test('short requests', () => {
+  const { run, state } = createWorker();
+  run(0, short('r1', 20));
+  run(0, short('r2', 20));
+  run(5, { type: 'shortClosed', requestId: 'r2', complete: false });
+  expect(findAnswer(run(6, { type: 'leaseRead', requestId: 'p' }), 'p')).toMatchObject({
+    activeRequests: ['attempt-r1', 'attempt-r2'],
+  });
+  const served = run(20, { type: 'tick' }).filter((effect) => effect.type === 'serveRequest');
+  expect(served).toMatchObject([{ requestId: 'r1', status: 200, truncate: false }]);
+  run(25, { type: 'shortClosed', requestId: 'r1', complete: true });
+  const ends = state.journal.filter((line) => line.kind === 'requestEnded');
+  expect(ends).toMatchObject([
+    { attemptId: 'attempt-r2', outcome: 'interrupted', at: 20 },
+    { attemptId: 'attempt-r1', outcome: 'answered', at: 25 },
+  ]);
+});
+
+// Guards against a failing worker that still runs tasks, and a reset request that was started.
+test('faults', () => {
+  const { run, state, listTasks } = createWorker();
+  run(0, setFaults({ failEverything: true }));
+  run(0, prepare('t', { runMs: 500 }));
+  run(0, call('startRequested', 't'));
+  run(0, short('r1', 20));
+  expect(run(1, { type: 'tick' })).toMatchObject([{ status: 500 }, { type: 'wake' }]);
+  expect(listTasks()).toMatchObject([['t', 'failed', 0]]);
+  run(2, setFaults({ resetRequests: true }));
+  const lines = state.journal.length;
+  expect(run(3, short('r2', 20))[0]).toEqual({ type: 'destroyConnection', requestId: 'r2' });
+  expect(state.journal.length).toBe(lines);
+});
