Add a TCP relay for cut and delay tests

Cause: tests of partitions need connections that freeze, reset or slow down without a change to the programs at either end. Ruled out: dropping bytes during a frozen cut, because TCP sends lost segments again after a partition; the relay stops reading and delivers later. Change: standins/relay with a reducer that queues data, ends and failures in each direction, and an adapter with sockets.

--- /dev/null
+++ b/standins/relay/RelayHalf.ts
@@ -0,0 +1,12 @@
+import type { RelayItem } from './RelayItem.js';
+
+/** One side of a relayed connection. */
+export interface RelayHalf {
+  /** Sent by this side, oldest first. */
+  queue: RelayItem[];
+  /** Whether the adapter reads from this side. */
+  reading: boolean;
+  /** Whether this side takes no more data for now. */
+  blocked: boolean;
+  closed: boolean;
+}
--- /dev/null
+++ b/standins/relay/RelaySide.ts
@@ -0,0 +1,2 @@
+/** End of a relayed connection. */
+export type RelaySide = 'client' | 'target';
--- /dev/null
+++ b/test/standins/relay/reduceRelay.test.ts
@@ -0,0 +1,86 @@
+import { expect, test } from '@jest/globals';
+import { createRelayState } from '../../../standins/relay/createRelayState.js';
+import { reduceRelay } from '../../../standins/relay/reduceRelay.js';
+import type { RelayEvent } from '../../../standins/relay/RelayEvent.js';
+import type { RelayFaults } from '../../../standins/relay/RelayFaults.js';
+
+const createRelay = () => {
+  const state = createRelayState();
+  const run = (at: number, event: RelayEvent) =>
+    reduceRelay(state, { ...event, at, wall: at }).filter((effect) => effect.type !== 'answer');
+  const setFaults = (at: number, faults: Partial<RelayFaults>) =>
+    run(at, { type: 'faultsRequested', requestId: 'f', faults });
+  return { state, run, setFaults };
+};
+const open = { type: 'connectionOpened', connectionId: 'c' } as const;
+const data = Buffer.from('x');
+const read = { type: 'dataRead', connectionId: 'c', side: 'client', data } as const;
+const idle = { type: 'wake', at: null };
+const setReading = (side: string, reading: boolean) => ({ type: 'setReading', side, reading });
+
+// Guards against data that overtakes a delay, or an end that overtakes data.
+test('delay', () => {
+  const { run, setFaults } = createRelay();
+  setFaults(0, { delayMs: 30 });
+  run(0, open);
+  expect(run(1, read)).toEqual([{ type: 'wake', at: 31 }]);
+  setFaults(2, { delayMs: 0 });
+  expect(run(2, { type: 'sideEnded', connectionId: 'c', side: 'client' })).toEqual([
+    { type: 'wake', at: 31 },
+  ]);
+  expect(run(31, { type: 'tick' })).toMatchObject([
+    { type: 'writeData', side: 'target', data },
+    { type: 'endSide', side: 'target' },
+    idle,
+  ]);
+});
+
+// Guards against a frozen cut that leaks data, a failure or a new connection, or loses them.
+test('frozen cut', () => {
+  const { run, setFaults } = createRelay();
+  run(0, open);
+  expect(setFaults(1, { cut: true })).toMatchObject([
+    setReading('client', false),
+    setReading('target', false),
+    idle,
+  ]);
+  expect(run(2, read)).toEqual([idle]);
+  expect(run(3, { type: 'sideClosed', connectionId: 'c', side: 'client', failed: true })).toEqual([
+    idle,
+  ]);
+  expect(run(4, { type: 'connectionOpened', connectionId: 'd' })).toEqual([idle]);
+  expect(setFaults(5, { cut: false }).map(({ type }) => type)).toEqual([
+    'writeData',
+    'resetSide',
+    'setReading',
+    'setReading',
+    'openTarget',
+    'setReading',
+    'setReading',
+    'wake',
+  ]);
+});
+
+// Guards against a reset cut that keeps old connections or lets new ones through.
+test('reset cut', () => {
+  const { run, setFaults, state } = createRelay();
+  run(0, open);
+  const reset = [
+    { type: 'resetSide', side: 'client' },
+    { type: 'resetSide', side: 'target' },
+    idle,
+  ];
+  expect(setFaults(1, { cut: true, cutMode: 'reset' })).toMatchObject(reset);
+  expect(run(2, { type: 'connectionOpened', connectionId: 'd' })).toMatchObject(reset);
+  expect(state.connections.size).toBe(0);
+});
+
+// Guards against unbounded buffering towards a side that does not read.
+test('back pressure', () => {
+  const { run } = createRelay();
+  run(0, open);
+  const blocked = { type: 'writeBlocked', connectionId: 'c', side: 'target' } as const;
+  expect(run(1, blocked)).toMatchObject([setReading('client', false), idle]);
+  const drained = { ...blocked, type: 'writeDrained' } as const;
+  expect(run(2, drained)).toMatchObject([setReading('client', true), idle]);
+});
