--- /dev/null
+++ b/src/adapters/callers/CallerError.ts
@@ -0,0 +1,2 @@
+/** Errors of a caller's connection before its request reached the core. */
+export type CallerError = { kind: 'bodyTooLarge'; limitBytes: number } | { kind: 'callerGone' };
--- /dev/null
+++ b/src/adapters/callers/createCallerRunners.ts
@@ -0,0 +1,100 @@
+import { Agent } from 'undici';
+import type { UntimedEvent } from '../../core/UntimedEvent.js';
+import type { EffectRunners } from '../EffectRunners.js';
+import type { Attempt } from './Attempt.js';
+import type { Caller } from './Caller.js';
+import type { CallerTable } from './CallerTable.js';
+import { createAttemptHandler } from './createAttemptHandler.js';
+import { filterHeaders } from './filterHeaders.js';
+import { writeProblem } from './writeProblem.js';
+
+const connectTimeoutMs = 1000;
+const connectionsPerWorker = 64;
+// Credentials of a caller concern this system only; the body's length is set by undici.
+const droppedHeaders = ['authorization', 'host', 'content-length', 'expect'];
+
+type CallerRunners = Required<
+  Pick<
+    EffectRunners,
+    'dispatchAttempt' | 'relayAnswer' | 'abortAttempt' | 'refuseCaller' | 'resetCaller'
+  >
+>;
+
+const createAgent = (): Agent =>
+  new Agent({
+    connect: { timeout: connectTimeoutMs },
+    connections: connectionsPerWorker,
+    pipelining: 1,
+    // The core bounds the wait for an answer by the caller's deadline.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+const buildHeaders = (caller: Caller, attemptId: string): Record<string, string | string[]> => ({
+  ...filterHeaders(caller.incoming.headers, droppedHeaders),
+  'siskin-request': caller.requestId,
+  'siskin-attempt': attemptId,
+  'siskin-workspace': caller.workspace,
+});
+
+const createAttempt = (requestId: string, attemptId: string): Attempt => ({
+  attemptId,
+  requestId,
+  controller: null,
+  phase: 'notSent',
+  status: 0,
+  headers: {},
+  relayed: false,
+});
+
+const relay = (caller: Caller, attempt: Attempt, closeConnection: boolean): void => {
+  if (caller.outgoing.headersSent || caller.outgoing.destroyed) return;
+  attempt.relayed = true;
+  caller.outgoing.writeHead(attempt.status, {
+    ...attempt.headers,
+    'siskin-request-id': caller.requestId,
+    ...(closeConnection ? { connection: 'close' } : {}),
+  });
+  attempt.controller?.resume();
+};
+
+/** Runs the effects on callers and on the attempts that serve them. */
+export const createCallerRunners = (
+  table: CallerTable,
+  push: (event: UntimedEvent) => void,
+): CallerRunners => {
+  const agent = createAgent();
+  return {
+    dispatchAttempt: ({ requestId, attemptId, url }) => {
+      const caller = table.callers.get(requestId);
+      if (!caller) return;
+      const attempt = createAttempt(requestId, attemptId);
+      table.attempts.set(attemptId, attempt);
+      const { method = 'GET' } = caller.incoming;
+      agent.dispatch(
+        {
+          origin: url,
+          path: caller.path,
+          method,
+          headers: buildHeaders(caller, attemptId),
+          body: caller.body.length > 0 ? caller.body : null,
+        },
+        createAttemptHandler(attempt, caller.outgoing, push),
+      );
+    },
+    relayAnswer: ({ requestId, attemptId, closeConnection }) => {
+      const caller = table.callers.get(requestId);
+      const attempt = table.attempts.get(attemptId);
+      if (caller && attempt) relay(caller, attempt, closeConnection);
+    },
+    abortAttempt: ({ attemptId }) => {
+      table.attempts.get(attemptId)?.controller?.abort(new Error('attempt was abandoned'));
+      table.attempts.delete(attemptId);
+    },
+    refuseCaller: ({ requestId, refusal, closeConnection }) => {
+      const caller = table.callers.get(requestId);
+      if (caller) writeProblem(caller.outgoing, refusal, requestId, closeConnection);
+    },
+    resetCaller: ({ requestId }) => table.callers.get(requestId)?.outgoing.destroy(),
+  };
+};
--- /dev/null
+++ b/src/adapters/callers/readBody.ts
@@ -0,0 +1,22 @@
+import type { IncomingMessage } from 'node:http';
+import { err, ok, type Result } from 'neverthrow';
+import type { CallerError } from './CallerError.js';
+
+/** Reads a request body whole, up to a limit in bytes. */
+export const readBody = async (
+  incoming: IncomingMessage,
+  limitBytes: number,
+): Promise<Result<Buffer, CallerError>> => {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of incoming) {
+      size += (chunk as Buffer).length;
+      if (size > limitBytes) return err({ kind: 'bodyTooLarge', limitBytes });
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    return err({ kind: 'callerGone' });
+  }
+  return ok(Buffer.concat(chunks));
+};
--- /dev/null
+++ b/src/adapters/daemon/buildRunners.ts
@@ -0,0 +1,35 @@
+import type { Role } from '../../core/Role.js';
+import type { DaemonConfig } from '../config/DaemonConfig.js';
+import type { EffectRunners } from '../EffectRunners.js';
+import { createGatewayServer } from '../gateway/createGatewayServer.js';
+import { createLogRunners } from '../log/createLogRunners.js';
+import type { Logger } from '../logger/Logger.js';
+import type { Loop } from '../loop/Loop.js';
+import type { Metrics } from '../metrics/Metrics.js';
+import { startVmListPoll } from '../vm-list/startVmListPoll.js';
+import { createWorkerRunners } from '../worker/createWorkerRunners.js';
+
+interface Parts {
+  config: DaemonConfig;
+  loop: Loop;
+  logger: Logger;
+  metrics: Metrics;
+}
+
+const builders: Record<Role, (parts: Parts) => EffectRunners> = {
+  gateway: ({ config, loop, logger, metrics }) =>
+    createGatewayServer({
+      listen: { host: config.listen.host, port: config.listen.httpPort },
+      push: loop.push,
+      countRefusal: (reason) => metrics.runners.countRefusal({ type: 'countRefusal', reason }),
+      logger,
+    }).runners,
+  scheduler: ({ config, loop }) => {
+    startVmListPoll(config.vmList.url, loop.push);
+    return createWorkerRunners(config.timing.workerCallTimeoutMs, loop.push);
+  },
+  recorder: ({ config, loop }) => createLogRunners(config.log.url, loop.push),
+};
+
+/** Builds the effect runners that only one kind of daemon has. */
+export const buildRunners = (role: Role, parts: Parts): EffectRunners => builders[role](parts);
--- /dev/null
+++ b/src/adapters/daemon/startDaemon.ts
@@ -0,0 +1,56 @@
+import { randomUUID } from 'node:crypto';
+import { createState } from '../../core/createState.js';
+import { getSelfNode } from '../../core/getSelfNode.js';
+import type { Role } from '../../core/Role.js';
+import type { Self } from '../../core/Self.js';
+import { findMeshAddress } from '../config/findMeshAddress.js';
+import type { DaemonConfig } from '../config/DaemonConfig.js';
+import { createLogger } from '../logger/createLogger.js';
+import { createLoop } from '../loop/createLoop.js';
+import { createMesh } from '../mesh/createMesh.js';
+import { listMeshPeers } from '../mesh/listMeshPeers.js';
+import { createMetrics } from '../metrics/createMetrics.js';
+import { buildRunners } from './buildRunners.js';
+
+const tickEveryMs = 100;
+// Lets the last messages and log lines leave the process.
+const exitDelayMs = 200;
+
+const createSelf = (role: Role, config: DaemonConfig): Self => ({
+  vmId: config.vmId,
+  zone: config.zone,
+  role,
+  incarnation: randomUUID().slice(0, 8),
+});
+
+/** Starts one daemon: its state, its loop and the adapters of its role. */
+export const startDaemon = (role: Role, config: DaemonConfig): void => {
+  const self = createSelf(role, config);
+  const logger = createLogger(self, config.logLevel);
+  const metrics = createMetrics(config.statsd, self, logger);
+  const loop = createLoop(createState(self, config.rootTokenHash, config.timing));
+  const own = findMeshAddress(config, getSelfNode(self))!;
+  const mesh = createMesh({
+    self,
+    secret: config.meshSecret,
+    listen: { host: config.listen.host, port: own.port },
+    peers: listMeshPeers(config).filter((peer) => peer.node !== getSelfNode(self)),
+    push: loop.push,
+    count: (name) => metrics.runners.count({ type: 'count', name }),
+    logger,
+  });
+  loop.attach({ ...logger.runners, ...metrics.runners, ...mesh.runners });
+  loop.attach(buildRunners(role, { config, loop, logger, metrics }));
+  loop.attach({
+    exit: () => {
+      mesh.close();
+      metrics.close();
+      setTimeout(() => process.exit(0), exitDelayMs);
+    },
+  });
+  setInterval(() => loop.push({ type: 'tick' }), tickEveryMs);
+  const stop = (): void => loop.push({ type: 'shutdownRequested' });
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+  logger.write('info', 'daemon_started', { incarnation: self.incarnation });
+};
--- a/src/core/jobs/handleLeadChanged.ts
+++ b/src/core/jobs/handleLeadChanged.ts
@@ -11,10 +11,12 @@
  */
 export const handleLeadChanged = (state: State, event: EventOf<'leadChanged'>): Effect[] => {
   const { jobs, timing } = state;
-  jobs.holds.clear();
-  jobs.reservation = null;
   jobs.placementDue = event.lead;
-  if (!event.lead) return [];
+  if (!event.lead) {
+    jobs.holds.clear();
+    jobs.reservation = null;
+    return [];
+  }
   jobs.jobs.forEach((job) => {
     const isPending = !isJobEnded(job) && job.state !== 'queued' && job.dueAt === null;
     if (isPending) addDeadline(jobs, job, event.at + timing.gangSilenceMs);
--- a/test/core/jobs/placement.test.ts
+++ b/test/core/jobs/placement.test.ts
@@ -104,7 +104,7 @@
 // Guards against a guarantee that waits for a short request longer than 2 s.
 test('reclaim beside a short request', () => {
   const state = createZone([4], { a: { guarantees: [guarantee] } });
-  state.routing.loads.set('w0', { grants: new Set(['g']) } as never);
+  state.routing.loads.set('w0', { grants: new Set(['g']), inherited: new Set() } as never);
   expect(listCalls(submit(state, 0, 'a1', 'a', { acceleratorsPerTask: 4 }))).toEqual([]);
   expect(listCalls(tick(state, 1999))).toEqual([]);
   expect(listCalls(tick(state, 2000))).toEqual(['prepareTask a1.1.0 w0']);
