--- a/src/core/guarantees/updatePlan.ts
+++ b/src/core/guarantees/updatePlan.ts
@@ -52,7 +52,7 @@
     {
       type: 'log',
       level: guarantees.unplaced.length > 0 ? 'warn' : 'info',
-      code: 'unplaced-guarantees',
+      code: 'unplaced_guarantees',
       fields: { unplaced: guarantees.unplaced },
     },
   ];
--- a/src/core/jobs/JobsState.ts
+++ b/src/core/jobs/JobsState.ts
@@ -2,6 +2,7 @@
 import type { Job } from './Job.js';
 import type { JobDeadline } from './JobDeadline.js';
 import type { Reservation } from './Reservation.js';
+import type { SubmissionWait } from './SubmissionWait.js';
 import type { WorkerFaults } from './WorkerFaults.js';
 
 /** Jobs of a zone as its scheduler knows them. */
@@ -9,6 +10,8 @@
   jobs: Map<string, Job>;
   /** Ids of the jobs of each workspace. */
   jobsByWorkspace: Map<string, Set<string>>;
+  /** Ids of the jobs that are neither queued nor ended. */
+  activeJobs: Set<string>;
   /** Ids of queued jobs in order of submission. */
   queue: string[];
   /** Task id to job id, for tasks that occupy a worker. */
@@ -31,6 +34,8 @@
   /** Moving average of run times by workspace and shape, in milliseconds. */
   observedMs: Map<string, number>;
   faultsByWorker: Map<string, WorkerFaults>;
+  /** Submissions that are not answered yet. */
+  submissionWaits: SubmissionWait[];
   /** Whether the queue or the free capacity changed since the latest placement pass. */
   placementDue: boolean;
   /** Monotonic time of the latest placement pass. */
--- /dev/null
+++ b/src/core/jobs/SubmissionWait.ts
@@ -0,0 +1,12 @@
+import type { NodeId } from '../NodeId.js';
+
+/** A submission whose answer waits until the zone's other schedulers have the job. */
+export interface SubmissionWait {
+  requestId: string;
+  from: NodeId;
+  jobId: string;
+  /** Copy that contains the job. */
+  sequence: number;
+  /** Monotonic milliseconds. */
+  deadlineAt: number;
+}
--- a/src/core/jobs/adoptTask.ts
+++ b/src/core/jobs/adoptTask.ts
@@ -81,7 +81,7 @@
     {
       type: 'log',
       level: 'warn',
-      code: 'task-adopted',
+      code: 'task_adopted',
       fields: { taskId: report.taskId, jobId: job.id, workerId },
     },
   ];
--- a/src/core/jobs/applyReplicatedJob.ts
+++ b/src/core/jobs/applyReplicatedJob.ts
@@ -1,6 +1,9 @@
 import type { State } from '../State.js';
+import { addDeadline } from './addDeadline.js';
 import { addJob } from './addJob.js';
 import { addPartUse } from './addPartUse.js';
+import { endedJobKeepMs } from './endedJobKeepMs.js';
+import { isJobEnded } from './isJobEnded.js';
 import { isPartEnded } from './isPartEnded.js';
 import type { Job } from './Job.js';
 import { queueJob } from './queueJob.js';
@@ -30,6 +33,9 @@
     })),
   };
   addJob(jobs, job);
+  jobs.activeJobs.delete(job.id);
+  if (isJobEnded(job)) addDeadline(jobs, job, at + endedJobKeepMs);
+  else jobs.activeJobs.add(job.id);
   if (job.state === 'queued') queueJob(state, job, at);
   job.parts.filter((part) => !isPartEnded(part, at)).forEach((part) => addPartUse(jobs, job, part));
   state.replication.changedJobs.delete(job.id);
--- a/src/core/jobs/cancelJob.ts
+++ b/src/core/jobs/cancelJob.ts
@@ -1,6 +1,7 @@
 import { answerCommand } from '../commands/answerCommand.js';
 import type { CommandHandler } from '../commands/CommandHandler.js';
 import type { Effect } from '../Effect.js';
+import { refuse } from '../refuse.js';
 import type { State } from '../State.js';
 import { describeJob } from './describeJob.js';
 import { closeJob } from './closeJob.js';
@@ -8,6 +9,7 @@
 import { isDecider } from './isDecider.js';
 import { isJobEnded } from './isJobEnded.js';
 import type { Job } from './Job.js';
+import { refuseCommand } from './refuseCommand.js';
 import { scheduleJobs } from './scheduleJobs.js';
 import { stopGang } from './stopGang.js';
 
@@ -20,19 +22,11 @@
 };
 
 /** Cancels a job in any phase; an ended job stays as it is. Cost: O(parts + queued jobs). */
-export const cancelJob: CommandHandler<'cancelJob'> = (
-  state,
-  { requestId, from, at, wall, command },
-) => {
+export const cancelJob: CommandHandler<'cancelJob'> = (state, request) => {
+  const { requestId, from, at, wall, command } = request;
   const job = state.jobs.jobs.get(command.jobId);
-  const reason = job?.workspace !== command.workspace ? 'unknown-job' : 'no-lead';
-  if (job?.workspace !== command.workspace || !isDecider(state, job, at)) {
-    const refusal = { reason, outcome: 'not-run' } as const;
-    return [
-      { type: 'countRefusal', reason },
-      answerCommand(from, requestId, { ok: false, refusal }),
-    ];
-  }
+  if (job?.workspace !== command.workspace) return refuseCommand(request, refuse('unknown-job'));
+  if (!isDecider(state, job, at)) return refuseCommand(request, refuse('no-lead'));
   const effects = cancel(state, job, { at, wall });
   const answer = answerCommand(from, requestId, { ok: true, data: describeJob(job) });
   const placed = state.jobs.placementDue ? scheduleJobs(state, { at, wall }) : [];
--- a/src/core/jobs/checkSubmission.ts
+++ b/src/core/jobs/checkSubmission.ts
@@ -1,12 +1,12 @@
 import type { Refusal } from '../Refusal.js';
+import { refuse } from '../refuse.js';
 import type { State } from '../State.js';
 import { findWorkspace } from './findWorkspace.js';
 import type { JobSpec } from './JobSpec.js';
 import { placeGang } from './placeGang.js';
 
-const refuse = (reason: Refusal['reason'], detail: string): Refusal => ({
-  reason,
-  outcome: 'not-run',
+const explainRefusal = (reason: Refusal['reason'], detail: string): Refusal => ({
+  ...refuse(reason),
   detail,
 });
 
@@ -23,10 +23,10 @@
   spec: JobSpec,
 ): Refusal | null => {
   const settings = findWorkspace(state, workspace);
-  if (!settings) return refuse('unknown-workspace', workspace);
-  if (zone !== state.self.zone) return refuse('no-lead', `not a scheduler of zone ${zone}`);
+  if (!settings) return explainRefusal('unknown-workspace', workspace);
+  if (zone !== state.self.zone) return explainRefusal('no-lead', `not a scheduler of zone ${zone}`);
   if (!isCount(spec.tasks) || !isCount(spec.acceleratorsPerTask)) {
-    return refuse('bad-request', 'tasks and acceleratorsPerTask must be positive integers');
+    return explainRefusal('bad-request', 'tasks and acceleratorsPerTask must be positive integers');
   }
   const workers = Object.entries(state.settings.inForce?.tree.zones[zone]?.workers ?? {});
   const capacities = workers.map(([workerId, { rack, accelerators, slots }]) => ({
@@ -36,10 +36,16 @@
   }));
   const shape = `${spec.tasks} parts of ${spec.acceleratorsPerTask} accelerators in one ${spec.adjacency}`;
   if (!placeGang(capacities, spec)) {
-    return refuse('impossible-shape', `${shape} exceed every ${spec.adjacency} of the zone`);
+    return explainRefusal(
+      'impossible-shape',
+      `${shape} exceed every ${spec.adjacency} of the zone`,
+    );
   }
   if (spec.tasks * spec.acceleratorsPerTask > settings.maxAccelerators) {
-    return refuse('quota-exceeded', `${shape} exceed the quota of ${settings.maxAccelerators}`);
+    return explainRefusal(
+      'quota-exceeded',
+      `${shape} exceed the quota of ${settings.maxAccelerators}`,
+    );
   }
   return null;
 };
--- a/src/core/jobs/closeJob.ts
+++ b/src/core/jobs/closeJob.ts
@@ -1,5 +1,7 @@
 import type { Effect } from '../Effect.js';
 import type { State } from '../State.js';
+import { addDeadline } from './addDeadline.js';
+import { endedJobKeepMs } from './endedJobKeepMs.js';
 import type { EventTime } from './EventTime.js';
 import type { Job } from './Job.js';
 import { removeFromQueue } from './removeFromQueue.js';
@@ -15,6 +17,7 @@
   removeFromQueue(state.jobs, job.id);
   setJobState(state, job, end, at);
   job.endedWall = wall;
+  addDeadline(state.jobs, job, at + endedJobKeepMs);
   const record = { kind: 'jobEnded', id: `${job.id}/jobEnded`, jobId: job.id, state: end } as const;
   return [{ type: 'emit', event: { type: 'usageNoted', records: [record] } }];
 };
--- a/src/core/jobs/createJobsState.ts
+++ b/src/core/jobs/createJobsState.ts
@@ -4,6 +4,7 @@
 export const createJobsState = (): JobsState => ({
   jobs: new Map(),
   jobsByWorkspace: new Map(),
+  activeJobs: new Set(),
   queue: [],
   jobByTask: new Map(),
   tasksByWorker: new Map(),
@@ -16,6 +17,7 @@
   reservation: null,
   observedMs: new Map(),
   faultsByWorker: new Map(),
+  submissionWaits: [],
   placementDue: false,
   placedAt: -Infinity,
 });
--- a/src/core/jobs/handleTick.ts
+++ b/src/core/jobs/handleTick.ts
@@ -1,20 +1,37 @@
 import type { Effect } from '../Effect.js';
 import type { EventOf } from '../EventOf.js';
 import type { State } from '../State.js';
+import { answerSubmissions } from './answerSubmissions.js';
+import { deleteJob } from './deleteJob.js';
 import { handleJobDeadline } from './handleJobDeadline.js';
 import { isDecider } from './isDecider.js';
+import { isJobEnded } from './isJobEnded.js';
 import { takeDueJobs } from './takeDueJobs.js';
 
 // Slots freed by short requests are noticed by a placement pass at this interval.
 const placeEveryMs = 1000;
 
-/** Decides on due jobs; a job of another scheduler is left alone. Cost: O(due entries). */
+/**
+ * Decides on due jobs, leaving those of another scheduler alone, and answers submissions.
+ * Cost: O(due entries + waiting submissions), and a placement pass each second while jobs wait.
+ */
 export const handleTick = (state: State, event: EventOf<'tick'>): Effect[] => {
+  if (state.self.role !== 'scheduler') return [];
   const { jobs } = state;
   if (jobs.queue.length > 0 && event.at >= jobs.placedAt + placeEveryMs) jobs.placementDue = true;
-  return takeDueJobs(jobs, event.at).flatMap((job) => {
+  const due = takeDueJobs(jobs, event.at).flatMap((job) => {
+    if (isJobEnded(job)) {
+      deleteJob(jobs, job);
+      return [];
+    }
     if (isDecider(state, job, event.at)) return handleJobDeadline(state, job, event);
     job.dueAt = null;
     return [];
   });
+  return [
+    ...due,
+    ...answerSubmissions(state, event.at),
+    { type: 'gauge', name: 'queued_jobs', value: jobs.queue.length },
+    { type: 'gauge', name: 'running_jobs', value: jobs.activeJobs.size },
+  ];
 };
--- a/src/core/jobs/planReservation.ts
+++ b/src/core/jobs/planReservation.ts
@@ -10,7 +10,7 @@
 type Views = ReadonlyMap<string, WorkerView>;
 
 const listRunning = (state: State): Job[] =>
-  [...new Set(state.jobs.jobByTask.values())].flatMap((id) => state.jobs.jobs.get(id) ?? []);
+  [...state.jobs.activeJobs].flatMap((id) => state.jobs.jobs.get(id) ?? []);
 
 const removeJobs = (views: Views, gone: Job[]): Map<string, WorkerView> => {
   const left = new Map([...views].map(([id, view]) => [id, { ...view, requests: 0 }]));
@@ -40,7 +40,7 @@
 /**
  * Finds the workers that will be free first for a gang that does not fit now, and when; null when
  * it would not fit even on idle workers. Computed only when the reservation changes hands.
- * Cost: O(running tasks + workers log workers × log running jobs).
+ * Cost: O((running tasks + workers log workers) × log running jobs).
  */
 export const planReservation = (
   state: State,
--- a/src/core/jobs/setJobState.ts
+++ b/src/core/jobs/setJobState.ts
@@ -1,4 +1,5 @@
 import type { State } from '../State.js';
+import { isJobEnded } from './isJobEnded.js';
 import type { Job } from './Job.js';
 import type { JobState } from './JobState.js';
 
@@ -8,5 +9,7 @@
   job.state = next;
   job.phaseAt = at;
   job.dueAt = null;
+  if (next === 'queued' || isJobEnded(job)) state.jobs.activeJobs.delete(job.id);
+  else state.jobs.activeJobs.add(job.id);
   state.replication.changedJobs.add(job.id);
 };
--- a/src/core/jobs/showJob.ts
+++ b/src/core/jobs/showJob.ts
@@ -1,18 +1,15 @@
 import { answerCommand } from '../commands/answerCommand.js';
 import type { CommandHandler } from '../commands/CommandHandler.js';
+import { refuse } from '../refuse.js';
 import { describeJob } from './describeJob.js';
 import { explainJob } from './explainJob.js';
+import { refuseCommand } from './refuseCommand.js';
 
 /** Answers with one job and why it waits. Cost: that of `explainJob`. */
-export const showJob: CommandHandler<'showJob'> = (state, { requestId, from, at, command }) => {
+export const showJob: CommandHandler<'showJob'> = (state, request) => {
+  const { requestId, from, at, command } = request;
   const job = state.jobs.jobs.get(command.jobId);
-  if (job?.workspace !== command.workspace) {
-    const refusal = { reason: 'unknown-job', outcome: 'not-run' } as const;
-    return [
-      { type: 'countRefusal', reason: refusal.reason },
-      answerCommand(from, requestId, { ok: false, refusal }),
-    ];
-  }
+  if (job?.workspace !== command.workspace) return refuseCommand(request, refuse('unknown-job'));
   const data = { ...describeJob(job), explanation: explainJob(state, job, at) };
   return [answerCommand(from, requestId, { ok: true, data })];
 };
--- a/src/core/jobs/submitJob.ts
+++ b/src/core/jobs/submitJob.ts
@@ -3,53 +3,64 @@
 import type { Effect } from '../Effect.js';
 import { isLead } from '../ownership/isLead.js';
 import type { Refusal } from '../Refusal.js';
+import { refuse } from '../refuse.js';
+import { sendCopies } from '../replication/sendCopies.js';
 import type { State } from '../State.js';
 import { addJob } from './addJob.js';
+import { answerSubmissions } from './answerSubmissions.js';
 import { checkSubmission } from './checkSubmission.js';
 import { createJob } from './createJob.js';
 import { describeJob } from './describeJob.js';
 import type { Job } from './Job.js';
 import { queueJob } from './queueJob.js';
+import { refuseCommand } from './refuseCommand.js';
 import { scheduleJobs } from './scheduleJobs.js';
 
+type Request = Parameters<CommandHandler<'submitJob'>>[1];
+
+// A claim takes about this long after the previous lead died.
+const retryAfterMs = 1000;
+
 const acceptJob = (state: State, job: Job, at: number): Effect[] => {
   addJob(state.jobs, job);
   queueJob(state, job, at);
   const record = { kind: 'jobSubmitted', id: `${job.id}/jobSubmitted`, job } as const;
-  return [{ type: 'emit', event: { type: 'usageNoted', records: [structuredClone(record)] } }];
+  // The record is a copy, because the job changes in place before the record is sent.
+  const records = [structuredClone(record)];
+  return [{ type: 'emit', event: { type: 'usageNoted', records } }, ...sendCopies(state, at)];
 };
 
-const findRefusal = (state: State, at: number): Refusal | null => {
-  if (!state.settings.inForce) return { reason: 'no-settings', outcome: 'not-run' };
-  return isLead(state, at) ? null : { reason: 'no-lead', outcome: 'not-run' };
+const findRefusal = (state: State, { at, command }: Request): Refusal | null => {
+  if (!state.settings.inForce) return refuse('no-settings', 'not-run', retryAfterMs);
+  if (!isLead(state, at)) return refuse('no-lead', 'not-run', retryAfterMs);
+  const known = state.jobs.jobs.get(command.jobId);
+  if (known && known.workspace !== command.workspace) {
+    return { ...refuse('bad-request'), detail: 'the job id is in use' };
+  }
+  const zone = command.zone ?? state.self.zone;
+  return known ? null : checkSubmission(state, command.workspace, zone, command.spec);
 };
 
 /**
- * Accepts a job into the queue; a repeated submission is answered with the existing job.
- * Cost: that of `scheduleJobs`.
+ * Accepts a job into the queue and answers once the zone's other schedulers have it. A repeated
+ * submission is answered with the existing job. Cost: that of `scheduleJobs`.
  */
-export const submitJob: CommandHandler<'submitJob'> = (
-  state,
-  { requestId, from, at, wall, command },
-) => {
-  const refuse = (refusal: Refusal): Effect[] => [
-    { type: 'countRefusal', reason: refusal.reason },
-    answerCommand(from, requestId, { ok: false, refusal }),
-  ];
-  const { jobId: id, workspace, spec } = command;
-  const zone = command.zone ?? state.self.zone;
-  const existing = state.jobs.jobs.get(id);
-  if (existing?.workspace === workspace) {
-    return [answerCommand(from, requestId, { ok: true, data: describeJob(existing) })];
-  }
-  if (existing) {
-    return refuse({ reason: 'bad-request', outcome: 'not-run', detail: 'the job id is in use' });
+export const submitJob: CommandHandler<'submitJob'> = (state, request) => {
+  const { requestId, from, at, wall, command } = request;
+  const refusal = findRefusal(state, request);
+  if (refusal) return refuseCommand(request, refusal);
+  const { jobId, workspace, spec } = command;
+  const known = state.jobs.jobs.get(jobId);
+  if (known && !state.jobs.submissionWaits.some((wait) => wait.jobId === jobId)) {
+    return [answerCommand(from, requestId, { ok: true, data: describeJob(known) })];
   }
-  const refusal = findRefusal(state, at) ?? checkSubmission(state, workspace, zone, spec);
-  if (refusal) return refuse(refusal);
-  const job = createJob({ id, workspace, zone, spec, submittedWall: wall, phaseAt: at });
-  const accepted = acceptJob(state, job, at);
-  const started = scheduleJobs(state, { at, wall });
-  const answer = answerCommand(from, requestId, { ok: true, data: describeJob(job) });
-  return [...accepted, ...started, answer];
+  const { zone } = state.self;
+  const job =
+    known ?? createJob({ id: jobId, workspace, zone, spec, submittedWall: wall, phaseAt: at });
+  const accepted = known ? [] : acceptJob(state, job, at);
+  const { sequence } = state.replication;
+  const deadlineAt = at + state.timing.commandTimeoutMs;
+  state.jobs.submissionWaits.push({ requestId, from, jobId, sequence, deadlineAt });
+  const started = known ? [] : scheduleJobs(state, { at, wall });
+  return [...accepted, ...started, ...answerSubmissions(state, at)];
 };
