Add the demo over separate processes

Cause: the whole path had not been run in one piece. Ruled out: waiting in the demo for fixed times; every wait polls for what it needs and has a bound. Change: a harness that starts an office on loopback, a demo of six steps, and answers of several zones that always stand under the zones' names (one zone's answer looked like the whole before).

--- a/src/adapters/daemon/buildRunners.ts
+++ b/src/adapters/daemon/buildRunners.ts
@@ -26,7 +26,7 @@
     }).runners,
   scheduler: ({ config, loop }) => {
     startVmListPoll(config.vmList.url, loop.push);
-    return createWorkerRunners(config.timing.workerCallTimeoutMs, loop.push);
+    return createWorkerRunners(config.timing, loop.push);
   },
   recorder: ({ config, loop }) => createLogRunners(config.log.url, loop.push),
 };
--- a/src/adapters/worker/createWorkerRunners.ts
+++ b/src/adapters/worker/createWorkerRunners.ts
@@ -2,6 +2,7 @@
 import type { Effect } from '../../core/Effect.js';
 import type { WorkerCall } from '../../core/ownership/WorkerCall.js';
 import type { WorkerReport } from '../../core/ownership/WorkerReport.js';
+import type { Timing } from '../../core/Timing.js';
 import type { UntimedEvent } from '../../core/UntimedEvent.js';
 import type { EffectRunners } from '../EffectRunners.js';
 import { buildWorkerHttpCall } from './buildWorkerHttpCall.js';
@@ -18,13 +19,19 @@
 
 /** Runs control calls to workers; each ends in one event. */
 export const createWorkerRunners = (
-  timeoutMs: number,
+  { workerCallTimeoutMs, checkpointMs }: Pick<Timing, 'workerCallTimeoutMs' | 'checkpointMs'>,
   push: (event: UntimedEvent) => void,
 ): Required<Pick<EffectRunners, 'callWorker'>> => {
   const agent = createAgent();
   const callLease = ({ workerId, url, call }: CallEffect<LeaseCall>): void => {
     const { purpose, sentAt } = call;
-    callWorkerHttp(agent, url, buildWorkerHttpCall(call), workerReportSchema, timeoutMs).match(
+    callWorkerHttp(
+      agent,
+      url,
+      buildWorkerHttpCall(call),
+      workerReportSchema,
+      workerCallTimeoutMs,
+    ).match(
       (report) =>
         push({
           type: 'leaseAnswered',
@@ -38,6 +45,8 @@
   };
   const callTask = ({ workerId, url, call }: CallEffect<TaskCall>): void => {
     const { kind, taskId } = call;
+    // A worker answers a checkpoint call when the checkpoint is complete.
+    const timeoutMs = kind === 'checkpointTask' ? checkpointMs : workerCallTimeoutMs;
     callWorkerHttp(agent, url, buildWorkerHttpCall(call), taskAnswerSchema, timeoutMs).match(
       ({ accepted, checkpoint }) =>
         push({
--- a/src/core/requests/CommandRoute.ts
+++ b/src/core/requests/CommandRoute.ts
@@ -3,6 +3,7 @@
 import type { Command } from '../commands/Command.js';
 import type { CommandResult } from '../commands/CommandResult.js';
 import type { NodeId } from '../NodeId.js';
+import type { RefusalReason } from '../RefusalReason.js';
 import type { State } from '../State.js';
 
 /** How a gateway treats one kind of command. */
@@ -14,6 +15,10 @@
   findTargets: (state: State, command: Extract<Command, { kind: K }>, at: number) => NodeId[];
   /** Answers without asking another daemon, where the gateway itself has what is needed. */
   answerLocally?: (state: State, principal: Principal) => CommandResult;
+  /** Why the command is refused while nobody can decide it. */
+  refusalWithoutTarget: RefusalReason;
+  /** Whether the answers of several zones are merged under their names, even if only one came. */
+  perZone: boolean;
   /** Whether the command changes anything, so that a missing answer leaves its outcome unknown. */
   changes: boolean;
 }
--- a/src/core/requests/PendingCommand.ts
+++ b/src/core/requests/PendingCommand.ts
@@ -12,6 +12,4 @@
   open: Set<NodeId>;
   /** Data of each node that answered, by zone; merged when all have. */
   answers: Record<string, unknown>;
-  /** Number of nodes asked; with one, its answer is passed on as it is. */
-  asked: number;
 }
--- a/src/core/requests/commandRoutes.ts
+++ b/src/core/requests/commandRoutes.ts
@@ -63,30 +63,40 @@
     },
     findTargets: findJobLead,
     changes: true,
+    perZone: false,
+    refusalWithoutTarget: 'no-lead',
   },
   cancelJob: {
     getAccess: getWorkspace,
     resolveZone: keep,
     findTargets: findJobLead,
     changes: true,
+    perZone: false,
+    refusalWithoutTarget: 'no-lead',
   },
   showJob: {
     getAccess: getWorkspace,
     resolveZone: keep,
     findTargets: findJobLead,
     changes: false,
+    perZone: false,
+    refusalWithoutTarget: 'no-lead',
   },
   listJobs: {
     getAccess: getWorkspace,
     resolveZone: keep,
     findTargets: findAllLeads,
     changes: false,
+    perZone: true,
+    refusalWithoutTarget: 'no-lead',
   },
   showStatus: {
     getAccess: getOffice,
     resolveZone: keep,
     findTargets: findAllSchedulers,
     changes: false,
+    perZone: true,
+    refusalWithoutTarget: 'no-lead',
   },
   showSettings: {
     // Every principal may ask; the answer holds only what it may see.
@@ -95,12 +105,16 @@
     resolveZone: keep,
     findTargets: findRecorder,
     changes: false,
+    perZone: false,
+    refusalWithoutTarget: 'log-unavailable',
   },
   proposeSettings: {
     getAccess: (command) => ({ kind: 'subtree', path: command.path }),
     resolveZone: keep,
     findTargets: findRecorder,
     changes: true,
+    perZone: false,
+    refusalWithoutTarget: 'log-unavailable',
   },
   listProposals: {
     getAccess: (command) =>
@@ -108,11 +122,15 @@
     resolveZone: keep,
     findTargets: findRecorder,
     changes: false,
+    perZone: false,
+    refusalWithoutTarget: 'log-unavailable',
   },
   reportUsage: {
     getAccess: getWorkspace,
     resolveZone: keep,
     findTargets: findRecorder,
     changes: false,
+    perZone: false,
+    refusalWithoutTarget: 'log-unavailable',
   },
 };
--- a/src/core/requests/handleCommandRequested.ts
+++ b/src/core/requests/handleCommandRequested.ts
@@ -45,6 +45,7 @@
   }
   const routed = route.resolveZone(state, command as never);
   const targets = route.findTargets(state, routed as never, event.at);
-  if (targets.length === 0) return refuseCommand(requestId, refuse('no-lead', 'not-run', 1000));
+  if (targets.length === 0)
+    return refuseCommand(requestId, refuse(route.refusalWithoutTarget, 'not-run', 1000));
   return sendCommand(state, requestId, routed, targets, event.at);
 };
--- a/src/core/requests/handleCommandResult.ts
+++ b/src/core/requests/handleCommandResult.ts
@@ -1,13 +1,14 @@
 import type { Effect } from '../Effect.js';
 import type { EventOf } from '../EventOf.js';
 import type { State } from '../State.js';
+import { commandRoutes } from './commandRoutes.js';
 
 /** Passes a command's answer on; answers of several zones are merged under their names. */
 export const handleCommandResult = (state: State, event: EventOf<'commandResult'>): Effect[] => {
   const { requestId, result, from } = event;
   const pending = state.requests.commands.get(requestId);
   if (!pending?.open.delete(from)) return [];
-  if (pending.asked === 1 || !result.ok) {
+  if (!commandRoutes[pending.kind].perZone || !result.ok) {
     state.requests.commands.delete(requestId);
     const counted: Effect[] = result.ok
       ? []
--- a/src/core/requests/sendCommand.ts
+++ b/src/core/requests/sendCommand.ts
@@ -19,7 +19,6 @@
     changes: commandRoutes[command.kind].changes,
     open: new Set(targets),
     answers: {},
-    asked: targets.length,
   });
   return targets.map((to) => ({
     type: 'send',
--- /dev/null
+++ b/tools/demo/prepareSettings.ts
@@ -0,0 +1,66 @@
+import fs from 'node:fs';
+import path from 'node:path';
+import { buildZones } from '../office/buildZones.js';
+import { callApi } from '../office/callApi.js';
+import { findLead } from '../office/findLead.js';
+import { runCli } from '../office/runCli.js';
+import { waitUntil } from '../office/waitUntil.js';
+import { check } from './check.js';
+import type { DemoContext } from './DemoContext.js';
+import type { DemoStep } from './DemoStep.js';
+
+const guarantee = { zone: 'zone-a', workers: 2, acceleratorsPerWorker: 8, adjacency: 'rack' };
+
+const team = {
+  tokenHashes: [],
+  workspaces: {
+    labels: { weight: 1, maxAccelerators: 64, maxQueuedRequests: 1000, guarantees: [guarantee] },
+    transects: { weight: 1, maxAccelerators: 64, maxQueuedRequests: 1000, guarantees: [guarantee] },
+  },
+};
+
+const propose = async (context: DemoContext, subtree: string, content: unknown): Promise<void> => {
+  const { office, httpPort } = context;
+  const file = path.join(office.folder, `${subtree.replace('/', '-')}.json`);
+  fs.writeFileSync(file, JSON.stringify(content));
+  const args = ['settings', 'propose', subtree, file, '--expect', 'new', '--author', 'operator'];
+  // A refusal says that the proposal was not run, so it may be repeated while the daemons meet.
+  await waitUntil(`${subtree} is accepted`, 10_000, async () => {
+    const run = await runCli(httpPort, office.rootToken, args);
+    check(run.code === 0, `${subtree} is accepted (${run.stdout}${run.stderr})`);
+    return true;
+  });
+};
+
+const isReady = async (port: number): Promise<boolean> =>
+  (await callApi(port, 'GET', '/readyz')).status === 200;
+
+const run = async (context: DemoContext): Promise<void> => {
+  const { office, httpPort, print } = context;
+  await waitUntil('the first gateway answers', 10_000, async () =>
+    (await callApi(httpPort, 'GET', '/livez')).status === 200 ? true : undefined,
+  );
+  await propose(context, 'zones', buildZones(office));
+  const acceptedAt = performance.now();
+  await propose(context, 'teams/desk', team);
+  await Promise.all(
+    office.vms.map((vm) =>
+      waitUntil(`${vm.id} is ready`, 7000, async () =>
+        (await isReady(vm.httpPort)) ? true : undefined,
+      ),
+    ),
+  );
+  print(`both subtrees in force on ${office.vms.length} VMs within 7 s`);
+  await Promise.all(
+    office.spec.zones.map((zone) =>
+      waitUntil(`${zone} has a lead`, 10_000, () => findLead(office, zone, httpPort)),
+    ),
+  );
+  print(`every zone has a lead ${Math.round(performance.now() - acceptedAt)} ms later`);
+};
+
+/** Registers workers and two workspaces with guarantees through the settings tree. */
+export const prepareSettings: DemoStep = {
+  title: 'operators register workers and two workspaces',
+  run,
+};
--- /dev/null
+++ b/tools/demo/sendBurst.ts
@@ -0,0 +1,51 @@
+import { callApi } from '../office/callApi.js';
+import type { DemoContext } from './DemoContext.js';
+
+/** What a burst of short requests gave. */
+interface BurstResult {
+  answered: number;
+  refused: number;
+  unknown: number;
+  /** Answers that belong to another request. */
+  foreign: number;
+  slowestMs: number;
+}
+
+const sendOne = async (
+  { office }: DemoContext,
+  port: number,
+  index: number,
+  result: BurstResult,
+): Promise<void> => {
+  const sentAt = performance.now();
+  try {
+    const { status, data } = await callApi(port, 'GET', `/w/labels/match/${index}`, {
+      token: office.rootToken,
+      headers: { 'x-work-ms': '20', 'siskin-timeout-ms': '15000' },
+    });
+    const answer = data as { path?: string; outcome?: string };
+    if (status === 200) {
+      result.answered += 1;
+      if (answer.path !== `/match/${index}`) result.foreign += 1;
+    } else if (answer.outcome === 'unknown') result.unknown += 1;
+    else result.refused += 1;
+  } catch {
+    result.unknown += 1;
+  }
+  result.slowestMs = Math.max(result.slowestMs, performance.now() - sentAt);
+};
+
+/** Sends idempotent short requests at once, spread over gateways. */
+export const sendBurst = async (
+  context: DemoContext,
+  count: number,
+  ports: number[],
+): Promise<BurstResult> => {
+  const result: BurstResult = { answered: 0, refused: 0, unknown: 0, foreign: 0, slowestMs: 0 };
+  await Promise.all(
+    Array.from({ length: count }, (_, index) =>
+      sendOne(context, ports[index % ports.length]!, index, result),
+    ),
+  );
+  return result;
+};
--- /dev/null
+++ b/tools/office/OfficeSpec.ts
@@ -0,0 +1,8 @@
+/** Size of an office to start on loopback. */
+export interface OfficeSpec {
+  zones: string[];
+  vmsPerZone: number;
+  workersPerZone: number;
+  /** Overrides of `[timing]`, in milliseconds. */
+  timing?: Record<string, number>;
+}
--- /dev/null
+++ b/tools/office/formatConfig.ts
@@ -0,0 +1,38 @@
+import { createHash } from 'node:crypto';
+import { stringify } from 'smol-toml';
+import type { OfficeSpec } from './OfficeSpec.js';
+import type { OfficeVm } from './OfficeVm.js';
+
+type VmPlan = Omit<OfficeVm, 'daemons'>;
+
+/** Formats the configuration file of one VM. */
+export const formatConfig = (
+  vm: VmPlan,
+  vms: VmPlan[],
+  platform: { logPort: number; vmListPort: number },
+  rootToken: string,
+  spec: OfficeSpec,
+): string =>
+  stringify({
+    vmId: vm.id,
+    zone: vm.zone,
+    meshSecret: 'loopback-mesh-secret',
+    rootTokenHash: createHash('sha256').update(rootToken).digest('hex'),
+    listen: {
+      httpPort: vm.httpPort,
+      gatewayPort: vm.meshPorts.gateway,
+      schedulerPort: vm.meshPorts.scheduler,
+      recorderPort: vm.meshPorts.recorder,
+    },
+    log: { url: `http://127.0.0.1:${platform.logPort}` },
+    vmList: { url: `http://127.0.0.1:${platform.vmListPort}` },
+    timing: spec.timing ?? {},
+    vm: vms.map(({ id, zone, meshPorts }) => ({
+      id,
+      zone,
+      host: '127.0.0.1',
+      gatewayPort: meshPorts.gateway,
+      schedulerPort: meshPorts.scheduler,
+      recorderPort: meshPorts.recorder,
+    })),
+  });
--- /dev/null
+++ b/tools/office/killVm.ts
@@ -0,0 +1,9 @@
+import type { OfficeVm } from './OfficeVm.js';
+
+/** Ends all daemons of a VM with SIGKILL and waits until they are gone. */
+export const killVm = async (vm: OfficeVm): Promise<void> => {
+  const daemons = Object.values(vm.daemons);
+  daemons.forEach((daemon) => daemon.signal('SIGKILL'));
+  await Promise.all(daemons.map((daemon) => daemon.ended));
+  vm.daemons = {};
+};
--- /dev/null
+++ b/tools/office/waitUntil.ts
@@ -0,0 +1,25 @@
+import { waitMs } from './waitMs.js';
+
+const pollMs = 50;
+
+/** Polls until a value is found; throws with the description when the time is over. */
+export const waitUntil = async <T>(
+  what: string,
+  limitMs: number,
+  find: () => Promise<T | undefined> | T | undefined,
+): Promise<T> => {
+  const deadline = performance.now() + limitMs;
+  let lastError = '';
+  while (performance.now() < deadline) {
+    try {
+      // eslint-disable-next-line no-await-in-loop -- each poll follows the one before.
+      const found = await find();
+      if (found !== undefined) return found;
+    } catch (error) {
+      lastError = String(error);
+    }
+    // eslint-disable-next-line no-await-in-loop -- the pause between two polls.
+    await waitMs(pollMs);
+  }
+  throw new Error(`not seen within ${limitMs} ms: ${what} ${lastError}`);
+};
