--- a/src/core/jobs/reclaimCells.ts
+++ b/src/core/jobs/reclaimCells.ts
@@ -4,6 +4,7 @@
 import { drainGang } from './drainGang.js';
 import { chooseBorrowers } from './chooseBorrowers.js';
 import type { EventTime } from './EventTime.js';
+import { findWorkspace } from './findWorkspace.js';
 import type { Job } from './Job.js';
 import { listCapacities } from './listCapacities.js';
 import { placeGang } from './placeGang.js';
@@ -21,6 +22,7 @@
   job: Job,
   event: EventTime,
 ): Effect[] | null => {
+  if (!findWorkspace(state, job.workspace)?.guarantees.length) return null;
   const workers = placeGang(listCapacities(views, job.workspace, 'reclaimable'), job.spec);
   if (!workers) return null;
   const { acceleratorsPerTask } = job.spec;
