--- a/src/core/requests/drainGateway.ts
+++ b/src/core/requests/drainGateway.ts
@@ -1,5 +1,6 @@
 import type { Effect } from '../Effect.js';
 import type { State } from '../State.js';
+import { hasUnstoredRecords } from '../usage/hasUnstoredRecords.js';
 import { buildAttemptId } from './buildAttemptId.js';
 import type { Exchange } from './Exchange.js';
 import { flushCounts } from './flushCounts.js';
@@ -18,10 +19,10 @@
 };
 
 const exitIfDone = (state: State, late: boolean): Effect[] => {
-  const { membership, requests, usage } = state;
+  const { membership, requests } = state;
   const open = requests.exchanges.size + requests.commands.size;
-  const unrecorded = usage.open.length + usage.unacknowledged.size;
-  if (!late && (open > 0 || unrecorded > 0)) return [];
+  const unrecorded = hasUnstoredRecords(state.usage);
+  if (!late && (open > 0 || unrecorded)) return [];
   membership.exited = true;
   return [
     { type: 'log', level: 'info', code: 'shutdown_finished', fields: { open, unrecorded } },
--- a/src/core/routing/exitWhenDrained.ts
+++ b/src/core/routing/exitWhenDrained.ts
@@ -1,15 +1,17 @@
 import type { Effect } from '../Effect.js';
 import type { State } from '../State.js';
+import { hasUnstoredRecords } from '../usage/hasUnstoredRecords.js';
 
 // Lets the last replication, release and refusal messages leave before the process ends.
 const lingerMs = 1000;
 
-/** Ends a draining scheduler when no grant of its own is open, or at the shutdown bound. */
+/** Ends a draining scheduler when no grant of its own is open and its records are stored, or at the shutdown bound. */
 export const exitWhenDrained = (state: State, at: number): Effect[] => {
   const { membership, routing, timing } = state;
   const since = membership.drainingSince;
   if (since === null || membership.exited || at - since < lingerMs) return [];
-  if (routing.grants.size > 0 && at - since < timing.shutdownMs) return [];
+  const busy = routing.grants.size > 0 || hasUnstoredRecords(state.usage);
+  if (busy && at - since < timing.shutdownMs) return [];
   membership.exited = true;
   return [
     {
