Explain a job that can never fit beside guarantees

Cause: a job that may not borrow can be too large for what the guarantees of others leave; it waits for ever, and the explanation did not say so. Ruled out: refusing it, because the guarantees may change while it waits. Change: the explanation names it. Measured: 220 tests pass, and the placement test covers the sentence. Conclusion: such a job still waits until it is cancelled.

--- a/src/core/jobs/explainJob.ts
+++ b/src/core/jobs/explainJob.ts
@@ -9,6 +9,8 @@
 import { listWaiting } from './listWaiting.js';
 import { measureShare } from './measureShare.js';
 import { measureUse } from './measureUse.js';
+import { placeGang } from './placeGang.js';
+import type { WorkerView } from './WorkerView.js';
 
 const explainShare = (state: State, job: Job, at: number): string => {
   const ahead = (listWaiting(state, at).get(job.workspace) ?? []).findIndex(
@@ -20,6 +22,14 @@
   return `Workspace ${job.workspace} uses ${use} accelerators (${share} per unit of weight); ${order}.`;
 };
 
+const isPlaceable = (views: ReadonlyMap<string, WorkerView>, job: Job): boolean => {
+  const idle = new Map(
+    [...views].map(([id, view]) => [id, { ...view, used: 0, usedBy: new Map(), requests: 0 }]),
+  );
+  const tier = listTiers(job).at(-1) ?? 'own';
+  return placeGang(listCapacities(idle, job.workspace, tier), job.spec) !== null;
+};
+
 const explainPlacement = (state: State, job: Job, at: number): string => {
   const { tasks, acceleratorsPerTask: size, adjacency } = job.spec;
   const views = buildWorkerViews(state, at);
@@ -33,10 +43,10 @@
     reservation && reservation.jobId !== job.id
       ? ` Job ${reservation.jobId} holds a reservation on ${reservation.workers.size} workers.`
       : '';
-  return (
-    `Needs ${tasks} parts of ${size} accelerators in one ${adjacency}; ` +
-    `parts that fit anywhere, by capacity allowed: ${counts.join(', ')}.${holder}`
-  );
+  const need = `Needs ${tasks} parts of ${size} accelerators in one ${adjacency}`;
+  const fit = `parts that fit anywhere, by capacity allowed: ${counts.join(', ')}.`;
+  const never = isPlaceable(views, job) ? '' : ' Does not fit beside the guarantees of others.';
+  return `${need}; ${fit}${holder}${never}`;
 };
 
 const explainQueued = (state: State, job: Job, at: number): string => {
--- a/test/core/jobs/placement.test.ts
+++ b/test/core/jobs/placement.test.ts
@@ -56,6 +56,7 @@
 test('only preemptible jobs borrow', () => {
   const state = createZone([4], { a: { guarantees: [guarantee] }, b: {} });
   expect(listCalls(submit(state, 0, 'j', 'b'))).toEqual([]);
+  expect(explainJob(state, state.jobs.jobs.get('j')!, 0)).toContain('beside the guarantees');
   expect(listCalls(submit(state, 0, 'k', 'b', { preemptible: true }))).toHaveLength(1);
   expect(state.jobs.jobs.get('k')?.parts[0]?.borrowed).toBe(true);
 });
