Take a checkpoint from the worker's report

Cause: a worker answers a checkpoint call when the checkpoint is complete, which may take up to checkpointMs, but a call ends after workerCallTimeoutMs. The repeated call could begin a second checkpoint, and the job lost the first one. Ruled out: a longer timeout for this call only, because a lost answer would still lose the checkpoint. Change: a running task that reports a checkpoint other than the one known before counts as answered. Conclusion: a checkpoint within checkpointMs is kept as soon as one renewal reports it.

--- a/src/core/jobs/JobPart.ts
+++ b/src/core/jobs/JobPart.ts
@@ -15,8 +15,10 @@
   startSentWall: number | null;
   /** Epoch time since which the part is known to run, or null. */
   startedWall: number | null;
-  /** Checkpoint taken in this attempt, or null. */
+  /** Newest checkpoint taken in this attempt, or null. */
   checkpoint: string | null;
+  /** The one before the checkpoint that was asked for, or null. */
+  checkpointBefore: string | null;
   /** For a lost part: monotonic time at which its task lease has certainly expired; null if it is gone. */
   expiresAt: number | null;
 }
--- a/src/core/jobs/adoptTask.ts
+++ b/src/core/jobs/adoptTask.ts
@@ -72,6 +72,7 @@
     startSentWall: null,
     startedWall: null,
     checkpoint: null,
+    checkpointBefore: null,
     expiresAt: null,
   };
   job.parts = [...job.parts, part].sort((a, b) => a.index - b.index);
--- a/src/core/jobs/applyTaskReport.ts
+++ b/src/core/jobs/applyTaskReport.ts
@@ -19,8 +19,22 @@
   event: EventTime,
 ) => Effect[];
 
+// A checkpoint can take longer than a call may, so its answer may be seen in a report only.
+const applyCheckpoint: Applier = (state, job, part, report, event) => {
+  const { checkpoint } = report;
+  if (report.state !== 'running' || checkpoint === undefined) return [];
+  if (part.state === 'running') part.checkpoint = checkpoint;
+  if (part.state !== 'checkpointing' || checkpoint === part.checkpointBefore) return [];
+  part.state = 'running';
+  part.changedAt = event.at;
+  part.checkpoint = checkpoint;
+  return updatePhase(state, job, event);
+};
+
 const applyRunning: Applier = (state, job, part, report, event) => {
-  if (part.state !== 'assigned' && part.state !== 'prepared') return [];
+  if (part.state !== 'assigned' && part.state !== 'prepared') {
+    return applyCheckpoint(state, job, part, report, event);
+  }
   return [...markRunning(job, part, event, report.ranMs), ...updatePhase(state, job, event)];
 };
 
--- a/src/core/jobs/drainGang.ts
+++ b/src/core/jobs/drainGang.ts
@@ -22,6 +22,7 @@
     .flatMap((part) => {
       part.state = 'checkpointing';
       part.changedAt = event.at;
+      part.checkpointBefore = part.checkpoint;
       part.checkpoint = null;
       return callPart(state, job, part, 'checkpointTask', event.at);
     });
--- a/src/core/jobs/startGang.ts
+++ b/src/core/jobs/startGang.ts
@@ -30,6 +30,7 @@
     startSentWall: null,
     startedWall: null,
     checkpoint: null,
+    checkpointBefore: null,
     expiresAt: null,
   }));
   return job.parts.flatMap((part) => {
--- a/test/core/jobs/placement.test.ts
+++ b/test/core/jobs/placement.test.ts
@@ -102,6 +102,20 @@
   );
 });
 
+// Guards against losing a checkpoint that took longer than its call may, or asking for it again.
+test('checkpoint seen in a report', () => {
+  const state = createZone([4], { a: { guarantees: [guarantee] }, b: {} });
+  answer(state, 0, submit(state, 0, 'b1', 'b', { preemptible: true, acceleratorsPerTask: 4 }));
+  submit(state, 100, 'a1', 'a', { acceleratorsPerTask: 4 });
+  const call = { workerId: 'w0', taskId: 'b1.1.0', call: 'checkpointTask' } as const;
+  expect(send(state, 1600, { type: 'taskCallFailed', ...call, error: 'timeout' })).toEqual([]);
+  const task = describeTask('b1.1.0', 1, 'running', 'b');
+  expect(listCalls(renew(state, 1700, 'w0', [task]))).toEqual(['checkpointTask b1.1.0 w0']);
+  const seen = renew(state, 2700, 'w0', [{ ...task, checkpoint: 'c1' }]);
+  expect(listCalls(seen)).toContain('stopTask b1.1.0 w0');
+  expect(state.jobs.jobs.get('b1')?.checkpoints).toEqual(['c1']);
+});
+
 // Guards against a guarantee that waits for a short request longer than 2 s.
 test('reclaim beside a short request', () => {
   const state = createZone([4], { a: { guarantees: [guarantee] } });
