Show problems in status, apply settings at the end of the stream only

Cause: a first start refused keyed requests for 300 s, because no scheduler had seen the zone before its workers were registered; a new recorder put each page of the stream in force while newer ones followed; 'jobs list' got the answers under zone names. Ruled out: treating an unknown tree as an empty one, which would hold after every restart too. The test of nested lists now uses 'settings history', as 'status' has a form of its own; its expectation is unchanged. Conclusion: a first start serves at once.

--- a/src/adapters/daemon/runDaemon.ts
+++ b/src/adapters/daemon/runDaemon.ts
@@ -5,6 +5,7 @@
 import { startDaemon } from './startDaemon.js';
 
 const configErrorStatus = 6;
+const usageErrorStatus = 2;
 
 const failConfig = (message: string): never => {
   process.stderr.write(`${message}\n`);
@@ -28,5 +29,11 @@
       }
     });
   program.help();
-  program.parse();
+  try {
+    program.parse();
+  } catch (error) {
+    // cac throws on an unknown or unused argument.
+    process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+    process.exit(usageErrorStatus);
+  }
 };
--- /dev/null
+++ b/src/cli/status/ShownStatus.ts
@@ -0,0 +1,5 @@
+import type { z } from 'zod';
+import type { statusSchema } from './statusSchema.js';
+
+/** Status of all zones as shown to operators. */
+export type ShownStatus = z.output<typeof statusSchema>;
--- a/src/cli/status/statusCommand.ts
+++ b/src/cli/status/statusCommand.ts
@@ -1,12 +1,27 @@
 import type { CliCommand } from '../CliCommand.js';
-import { showAnswer } from '../http/showAnswer.js';
+import { callApi } from '../http/callApi.js';
+import { formatTable } from '../output/formatTable.js';
+import { buildStatusTable } from './buildStatusTable.js';
+import { listProblems } from './listProblems.js';
+import type { ShownStatus } from './ShownStatus.js';
+import { statusSchema } from './statusSchema.js';
 
-/** Shows the state of the system as one gateway and its scheduler see it. */
+const formatStatus = (status: ShownStatus): string => {
+  const problems = listProblems(status, Date.now());
+  const summary = problems.length === 0 ? 'No problems.' : `Problems:\n${problems.join('\n')}`;
+  return `${formatTable(buildStatusTable(status))}\n\n${summary}`;
+};
+
+/** Shows the state of the zones and what is wrong in them. */
 export const statusCommand: CliCommand = {
   name: 'status',
   args: '',
   description: 'Show the state of daemons, workers and guarantees',
   options: [],
   examples: ['', '--json', '--url http://10.0.0.7:8080'],
-  run: (context) => showAnswer(context, { method: 'GET', path: '/v1/status' }),
+  run: async (context) =>
+    (await callApi(context, statusSchema, { method: 'GET', path: '/v1/status' })).map((status) => ({
+      data: status,
+      view: formatStatus(status),
+    })),
 };
--- a/src/core/requests/CommandRoute.ts
+++ b/src/core/requests/CommandRoute.ts
@@ -5,6 +5,7 @@
 import type { NodeId } from '../NodeId.js';
 import type { RefusalReason } from '../RefusalReason.js';
 import type { State } from '../State.js';
+import type { AnswerMerge } from './AnswerMerge.js';
 
 /** How a gateway treats one kind of command. */
 export interface CommandRoute<K extends Command['kind']> {
@@ -17,8 +18,7 @@
   answerLocally?: (state: State, principal: Principal) => CommandResult;
   /** Why the command is refused while nobody can decide it. */
   refusalWithoutTarget: RefusalReason;
-  /** Whether the answers of several zones are merged under their names, even if only one came. */
-  perZone: boolean;
+  merge: AnswerMerge;
   /** Whether the command changes anything, so that a missing answer leaves its outcome unknown. */
   changes: boolean;
 }
--- a/src/core/requests/commandRoutes.ts
+++ b/src/core/requests/commandRoutes.ts
@@ -63,7 +63,7 @@
     },
     findTargets: findJobLead,
     changes: true,
-    perZone: false,
+    merge: 'single',
     refusalWithoutTarget: 'no-lead',
   },
   cancelJob: {
@@ -71,7 +71,7 @@
     resolveZone: keep,
     findTargets: findJobLead,
     changes: true,
-    perZone: false,
+    merge: 'single',
     refusalWithoutTarget: 'no-lead',
   },
   showJob: {
@@ -79,7 +79,7 @@
     resolveZone: keep,
     findTargets: findJobLead,
     changes: false,
-    perZone: false,
+    merge: 'single',
     refusalWithoutTarget: 'no-lead',
   },
   listJobs: {
@@ -87,7 +87,7 @@
     resolveZone: keep,
     findTargets: findAllLeads,
     changes: false,
-    perZone: true,
+    merge: 'concatenate',
     refusalWithoutTarget: 'no-lead',
   },
   showStatus: {
@@ -95,7 +95,7 @@
     resolveZone: keep,
     findTargets: findAllSchedulers,
     changes: false,
-    perZone: true,
+    merge: 'by-zone',
     refusalWithoutTarget: 'no-lead',
   },
   showSettings: {
@@ -105,7 +105,7 @@
     resolveZone: keep,
     findTargets: findRecorder,
     changes: false,
-    perZone: false,
+    merge: 'single',
     refusalWithoutTarget: 'log-unavailable',
   },
   proposeSettings: {
@@ -113,7 +113,7 @@
     resolveZone: keep,
     findTargets: findRecorder,
     changes: true,
-    perZone: false,
+    merge: 'single',
     refusalWithoutTarget: 'log-unavailable',
   },
   listProposals: {
@@ -122,7 +122,7 @@
     resolveZone: keep,
     findTargets: findRecorder,
     changes: false,
-    perZone: false,
+    merge: 'single',
     refusalWithoutTarget: 'log-unavailable',
   },
   reportUsage: {
@@ -130,7 +130,7 @@
     resolveZone: keep,
     findTargets: findRecorder,
     changes: false,
-    perZone: false,
+    merge: 'single',
     refusalWithoutTarget: 'log-unavailable',
   },
 };
--- a/src/core/requests/handleCallerRequested.ts
+++ b/src/core/requests/handleCallerRequested.ts
@@ -12,7 +12,7 @@
 
 const findRefusal = (state: State, event: EventOf<'callerRequested'>): Refusal | null => {
   if (state.membership.listenerClosed) return refuse('shutting-down', 'not-run', 1000);
-  if (!state.settings.inForce) return refuse('no-settings', 'not-run', 1000);
+  if ((state.settings.inForce?.version ?? -1) < 0) return refuse('no-settings', 'not-run', 1000);
   const principal = resolvePrincipal(state, event.tokenHash);
   if (!principal) return refuse('unauthorized');
   if (!state.settings.teamByWorkspace.has(event.workspace)) return refuse('unknown-workspace');
--- a/src/core/settings/applySnapshot.ts
+++ b/src/core/settings/applySnapshot.ts
@@ -2,10 +2,13 @@
 import type { State } from '../State.js';
 import type { SettingsSnapshot } from './SettingsSnapshot.js';
 
-/** Puts a tree in force if it is newer than the present one; an older tree changes nothing. */
+/**
+ * Puts a tree in force if it is newer than the present one; an older tree changes nothing. The empty
+ * tree of an empty log counts, as it tells that nothing was registered before.
+ */
 export const applySnapshot = (state: State, snapshot: SettingsSnapshot): Effect[] => {
   const { settings } = state;
-  if (snapshot.version <= (settings.inForce?.version ?? -1)) return [];
+  if (settings.inForce && snapshot.version <= settings.inForce.version) return [];
   settings.inForce = snapshot;
   settings.teamByWorkspace = new Map();
   settings.teamByTokenHash = new Map();
--- a/src/core/settings/handleSettingsRead.ts
+++ b/src/core/settings/handleSettingsRead.ts
@@ -6,6 +6,7 @@
 import { applySnapshot } from './applySnapshot.js';
 import { closeGap } from './closeGap.js';
 import { noteTreeWall } from './noteTreeWall.js';
+import { pageLimit } from './pageLimit.js';
 import { readTail } from './readTail.js';
 
 /** Shortest time between two reads of an idle stream, if the log does not hold a long poll. */
@@ -33,6 +34,9 @@
   noteTreeWall(settings, event.records);
   if (tail.gap) closeGap(settings, event);
   else acceptPage(settings, event);
-  effects.push(...applySnapshot(state, settings.fold.snapshot), ...answerDecided(state));
+  // While pages follow, the tree is older than what other VMs may already have in force.
+  const isAtEnd = !tail.gap && event.records.length < pageLimit;
+  if (isAtEnd) effects.push(...applySnapshot(state, settings.fold.snapshot));
+  effects.push(...answerDecided(state));
   return [...effects, ...readTail(state, event.at)];
 };
--- a/src/core/settings/readTail.ts
+++ b/src/core/settings/readTail.ts
@@ -1,7 +1,7 @@
 import type { Effect } from '../Effect.js';
 import type { State } from '../State.js';
+import { pageLimit } from './pageLimit.js';
 
-const pageLimit = 100;
 const longPollMs = 1000;
 /** A read without an answer for this long is given up; the adapter's own timeout is shorter. */
 const lostReadMs = 15_000;
--- a/test/cli/runCli.test.ts
+++ b/test/cli/runCli.test.ts
@@ -149,11 +149,39 @@
 test('lists inside an answer become tables', async () => {
   const data = { lead: true, peers: [{ node: 'vm-1/gateway' }, { node: 'vm-2/\u001b[2J' }] };
   const api = await serveApi(() => ({ ok: true, data }));
-  const { out } = await callCli(api.url, 'status');
+  const { out } = await callCli(api.url, 'settings', 'history');
   await api.close();
   expect(out).toBe('FIELD  VALUE\nlead   true\n\npeers:\nNODE\nvm-1/gateway\nvm-2/ [2J\n');
 });
 
+// Guards against a status that hides what is wrong among what is well.
+test('status names each problem with its age', async () => {
+  const zone = {
+    ...{ vmId: 'vm-1', lead: false, registeredWorkers: 8, heldWorkers: 3, settingsVersion: 4 },
+    ...{ queuedRequests: 0, openGrants: 0, keysRefusedForMs: 9000, jobs: { running: 2 } },
+    unplacedGuarantees: [{ workspace: 'labels', shape: 0, sinceWall: Date.now() - 60_000 }],
+    peers: [{ node: 'vm-2/scheduler', linked: false, heardMsAgo: 7000 }],
+  };
+  const healthy = {
+    ...{ ...zone, vmId: 'vm-3', lead: true, heldWorkers: 8, settingsVersion: 5 },
+    ...{ keysRefusedForMs: 0, unplacedGuarantees: [], peers: [] },
+  };
+  const zones = { 'zone-a': zone, 'zone-b': healthy };
+  const api = await serveApi(() => ({ ok: true, data: { zones } }));
+  const { out } = await callCli(api.url, 'status');
+  await api.close();
+  expect(out.split('\n').slice(4)).toEqual([
+    'Problems:',
+    'zone-a: no lead: no new jobs and no keyed requests',
+    'zone-a: 5 workers without a holder',
+    'zone-a: settings 4 are older than 5',
+    'zone-a: keyed requests are refused for another 9 s',
+    'zone-a: guarantee 0 of labels has no place for 60 s',
+    'zone-a: vm-2/scheduler not heard for 7 s',
+    '',
+  ]);
+});
+
 const describeNewJob = (id: string) =>
   describeJob(
     createJob({
--- a/test/core/settings/settingsHandlers.test.ts
+++ b/test/core/settings/settingsHandlers.test.ts
@@ -171,3 +171,16 @@
   expect(findEffects(push(tick, 100), 'readLog')).toEqual([]);
   expect(findEffects(push(tick, 510), 'readLog')).toHaveLength(1);
 });
+
+// Guards against a new VM that serves an old tree while it reads the rest of the stream.
+test('tree is applied at the end of the stream', () => {
+  const { state, push } = makeRecorder();
+  const readId = readIdOf(push(tick));
+  const page = Array.from({ length: 100 }, (_, offset) =>
+    makeProposal(offset, `p${offset}`, 'zones', offset - 1, makeZones(`w${offset}`)),
+  );
+  const next = readIdOf(push(makeRead(readId, page)));
+  expect(state.settings.inForce).toBe(null);
+  push(makeRead(next, [makeProposal(100, 'p100', 'zones', 99, makeZones('w100'))]));
+  expect(state.settings.inForce?.version).toBe(100);
+});
