--- /dev/null
+++ b/src/cli/usage/usageCommand.ts
@@ -0,0 +1,15 @@
+import type { CliCommand } from '../CliCommand.js';
+import { formatUsage } from './formatUsage.js';
+import { periodOptions } from './periodOptions.js';
+import { readInvoice } from './readInvoice.js';
+
+/** Shows what a workspace used in a period, by job. */
+export const usageCommand: CliCommand = {
+  name: 'usage',
+  args: '<workspace>',
+  description: 'Show the recorded use of a workspace in a period, by job',
+  options: periodOptions,
+  examples: ['labels --from 2030-01-01 --to 2030-02-01'],
+  run: async (context) =>
+    (await readInvoice(context)).map((data) => ({ data, view: formatUsage(data) })),
+};
--- a/src/core/jobs/adoptTask.ts
+++ b/src/core/jobs/adoptTask.ts
@@ -72,6 +72,7 @@
     startSentWall: null,
     startedWall: null,
     checkpoint: null,
+    checkpointBefore: null,
     expiresAt: null,
   };
   job.parts = [...job.parts, part].sort((a, b) => a.index - b.index);
@@ -81,7 +82,7 @@
     {
       type: 'log',
       level: 'warn',
-      code: 'task-adopted',
+      code: 'task_adopted',
       fields: { taskId: report.taskId, jobId: job.id, workerId },
     },
   ];
--- a/src/core/jobs/buildWorkerViews.ts
+++ b/src/core/jobs/buildWorkerViews.ts
@@ -1,5 +1,6 @@
 import { isHeld } from '../ownership/isHeld.js';
 import type { State } from '../State.js';
+import { countRequests } from './countRequests.js';
 import type { GangHold } from './GangHold.js';
 import type { WorkerView } from './WorkerView.js';
 
@@ -18,7 +19,7 @@
  * drained and not avoided. Cost: O(workers of the zone + parts of reclaiming jobs).
  */
 export const buildWorkerViews = (state: State, at: number): Map<string, WorkerView> => {
-  const { jobs, guarantees, ownership, routing } = state;
+  const { jobs, guarantees, ownership } = state;
   const workers = state.settings.inForce?.tree.zones[state.self.zone]?.workers ?? {};
   const views = new Map<string, WorkerView>();
   Object.entries(workers).forEach(([workerId, worker]) => {
@@ -30,7 +31,7 @@
       rack: worker.rack,
       accelerators: worker.accelerators,
       slots: worker.slots,
-      requests: routing.loads.get(workerId)?.grants.size ?? 0,
+      requests: countRequests(state, workerId),
       used: jobs.acceleratorsByWorker.get(workerId) ?? 0,
       usedBy: jobs.useByWorker.get(workerId) ?? new Map<string, number>(),
       cellsBy: guarantees.cellsByWorker.get(workerId) ?? new Map<string, number>(),
--- a/src/core/jobs/startHeldGangs.ts
+++ b/src/core/jobs/startHeldGangs.ts
@@ -1,6 +1,7 @@
 import type { Effect } from '../Effect.js';
 import { isHeld } from '../ownership/isHeld.js';
 import type { State } from '../State.js';
+import { countRequests } from './countRequests.js';
 import type { EventTime } from './EventTime.js';
 import type { GangHold } from './GangHold.js';
 import { requestWaitMs } from './requestWaitMs.js';
@@ -12,7 +13,7 @@
   const needed = hold.workers.filter((id) => id === workerId).length * hold.acceleratorsPerTask;
   const used = (state.jobs.acceleratorsByWorker.get(workerId) ?? 0) + needed;
   const isWaiting = at < hold.at + requestWaitMs;
-  const requests = isWaiting ? (state.routing.loads.get(workerId)?.grants.size ?? 0) : 0;
+  const requests = isWaiting ? countRequests(state, workerId) : 0;
   return used <= worker.accelerators && used + requests <= worker.slots;
 };
 
--- /dev/null
+++ b/src/core/usage/handleUsageReplicaAck.ts
@@ -0,0 +1,27 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { reportStored } from './reportStored.js';
+
+/**
+ * Notes that another VM holds a copy; a second copy is released. An acknowledgement of an unknown
+ * batch changes nothing: it may be meant for an earlier process of this recorder, whose records
+ * only the copy still has.
+ */
+export const handleUsageReplicaAck = (
+  state: State,
+  event: EventOf<'usageReplicaAck'>,
+): Effect[] => {
+  const { held, unreplicated } = state.usage;
+  const { from, batchId } = event;
+  const batch = held.get(batchId);
+  if (!batch) return [];
+  if (!unreplicated.has(batchId) && batch.replica !== from) {
+    batch.copies.delete(from);
+    return [{ type: 'send', to: from, message: { type: 'usageDurable', batchId } }];
+  }
+  batch.replica = from;
+  batch.copies.add(from);
+  unreplicated.delete(batchId);
+  return reportStored(state, batch);
+};
--- a/test/core/settings/acceptRecord.test.ts
+++ b/test/core/settings/acceptRecord.test.ts
@@ -55,6 +55,11 @@
   ],
   ['teams/t2', { workspaces: { y: {} } }, 'teams/t2/workspaces/y/maxAccelerators: got nothing'],
   ['teams/t2', { workspaces: { constructor: {} } }, 'teams/t2/workspaces/constructor: got {}'],
+  [
+    'zones',
+    { a: (makeZones('w1') as { 'zone-a': unknown })['zone-a'], ...(makeZones('w1') as object) },
+    'zones/zone-a/workers/w1: got "w1"',
+  ],
 ] as const)('invalid subtree is explained: %s %j', (path, subtree, detail) => {
   const first = { ...(makeTeam('x', 0) as object), tokenHashes: ['a'.repeat(64)] };
   const fold = foldAll([
@@ -72,6 +77,13 @@
   expect(tree.teams.t1).toMatchObject({ futureField: { a: 1 } });
 });
 
+// Guards against a tree record that claims records after its own place.
+test('tree record from the future is ignored', () => {
+  const future = { kind: 'tree', ...foldAll([zones]), offset: 50 };
+  const fold = foldAll([zones, { offset: 3, wall: 0, data: future }]);
+  expect([fold.offset, fold.snapshot.version]).toEqual([3, 0]);
+});
+
 const proposalArbitrary = fc.record({
   id: fc.integer({ min: 0, max: 12 }),
   path: fc.constantFrom('zones', 'teams/t1', 'teams/t2'),
