--- /dev/null
+++ b/tools/bench/experiments/RequestExperiment.ts
@@ -0,0 +1,4 @@
+import type { RequestScenario } from '../requests/RequestScenario.js';
+
+/** Builds the scenario of one seed; `scale` shortens the run, 1 for the measured length. */
+export type RequestExperiment = (seed: number, scale: number) => RequestScenario;
--- /dev/null
+++ b/tools/bench/policies/createQueuePolicy.ts
@@ -0,0 +1,83 @@
+import type { Attempt } from '../requests/Attempt.js';
+import type { Decision } from '../requests/Decision.js';
+import type { RequestPolicy } from '../requests/RequestPolicy.js';
+import type { RequestScenario } from '../requests/RequestScenario.js';
+import type { WorkerSpec } from '../requests/WorkerSpec.js';
+import type { BaselineWorker } from './BaselineWorker.js';
+import { isFree } from './isFree.js';
+import type { QueueRules } from './QueueRules.js';
+
+const getAttemptId = (attempt: Attempt): string => `${attempt.request.id}.${attempt.attempt}`;
+
+const createWorker = (spec: WorkerSpec): BaselineWorker => ({
+  spec,
+  running: new Map(),
+  completed: 0,
+  failedAt: [],
+});
+
+const refuseAttempt = ({ request }: Attempt): Decision => ({
+  type: 'refuse',
+  requestId: request.id,
+});
+
+/** Creates a baseline with one queue, the scheduler's queue limits and deadlines, and own rules. */
+export const createQueuePolicy = (scenario: RequestScenario, rules: QueueRules): RequestPolicy => {
+  const workers = scenario.workers.map(createWorker);
+  const byId = new Map(workers.map((worker) => [worker.spec.id, worker]));
+  let waiting: Attempt[] = [];
+
+  const assign = (at: number): Decision[] => {
+    const decisions: Decision[] = [];
+    if (waiting.length === 0 || !workers.some(isFree)) return decisions;
+    rules.sort?.(waiting);
+    rules.beginPass?.(workers, at);
+    const left: Attempt[] = [];
+    waiting.forEach((attempt) => {
+      const worker = workers.some(isFree) ? rules.choose(workers, attempt, at) : null;
+      if (!worker) {
+        left.push(attempt);
+        return;
+      }
+      const { request } = attempt;
+      worker.running.set(getAttemptId(attempt), at + request.sizeMs * worker.spec.slowness);
+      const { id: workerId } = worker.spec;
+      decisions.push({ type: 'start', requestId: request.id, attempt: attempt.attempt, workerId });
+    });
+    waiting = left;
+    return decisions;
+  };
+  const isFull = (workspace: string): boolean =>
+    waiting.filter(({ request }) => request.workspace === workspace).length >=
+    scenario.maxQueuedRequests;
+
+  return {
+    offer: (attempt, at) => {
+      if (isFull(attempt.request.workspace)) {
+        return [refuseAttempt(attempt)];
+      }
+      waiting.push(attempt);
+      return assign(at);
+    },
+    release: (attempt, workerId, outcome, _elapsedMs, at) => {
+      const worker = byId.get(workerId)!;
+      worker.running.delete(getAttemptId(attempt));
+      if (outcome === 'answered') worker.completed += 1;
+      else worker.failedAt.push(at);
+      return assign(at);
+    },
+    cancel: (attempt, at) => {
+      waiting = waiting.filter(({ request }) => request.id !== attempt.request.id);
+      return assign(at);
+    },
+    tick: (at) => {
+      const expired = waiting.filter(({ deadlineAt }) => at >= deadlineAt);
+      waiting = waiting.filter(({ deadlineAt }) => at < deadlineAt);
+      const refusals = expired.map(({ request }): Decision => ({
+        type: 'refuse',
+        requestId: request.id,
+      }));
+      return [...refusals, ...assign(at)];
+    },
+  };
+};
--- /dev/null
+++ b/tools/bench/requests/LoadShape.ts
@@ -0,0 +1,20 @@
+import type { RequestClass } from './RequestClass.js';
+
+/** Parameters of generated load. */
+export interface LoadShape {
+  seed: number;
+  durationMs: number;
+  /** Offered work as a share of the zone's slot time on workers of slowness 1, by time. */
+  load: (at: number) => number;
+  /** Highest value of `load`. */
+  maxLoad: number;
+  slots: number;
+  /** Share of the requests that are batch requests. */
+  batchShare: number;
+  /** Mean service time by class, in milliseconds. */
+  meanMs: Record<RequestClass, number>;
+  /** Number of batch requests that arrive together. */
+  batchSize?: number;
+  /** Share of the requests that run 50 times longer. */
+  stragglerShare?: number;
+}
--- /dev/null
+++ b/tools/bench/requests/RequestResult.ts
@@ -0,0 +1,11 @@
+import type { RequestSpec } from './RequestSpec.js';
+
+/** How one request ended. */
+export interface RequestResult {
+  request: RequestSpec;
+  end: 'answered' | 'refused' | 'failed' | 'late' | 'cancelled';
+  /** Time from arrival to the end, in milliseconds. */
+  latencyMs: number;
+  /** Slot time used by all attempts until the last arrival of the run, in milliseconds. */
+  usedMs: number;
+}
--- /dev/null
+++ b/tools/bench/requests/RequestScenario.ts
@@ -0,0 +1,12 @@
+import type { RequestSpec } from './RequestSpec.js';
+import type { WorkerSpec } from './WorkerSpec.js';
+
+/** Load and workers of one run, the same for every policy. */
+export interface RequestScenario {
+  requests: RequestSpec[];
+  workers: WorkerSpec[];
+  weights: Record<string, number>;
+  maxQueuedRequests: number;
+  /** Time at which the callers marked `cancelled` leave, or null. */
+  cancelAt: number | null;
+}
--- /dev/null
+++ b/tools/bench/requests/RequestStep.ts
@@ -0,0 +1,9 @@
+import type { AttemptOutcome } from '../../../src/core/routing/AttemptOutcome.js';
+import type { Attempt } from './Attempt.js';
+
+/** A timed event of a request run. */
+export type RequestStep =
+  | { type: 'arrive'; attempt: Attempt }
+  | { type: 'end'; attempt: Attempt; workerId: string; startedAt: number; outcome: AttemptOutcome }
+  | { type: 'cancel' }
+  | { type: 'tick' };
--- /dev/null
+++ b/tools/bench/requests/measureRequests.ts
@@ -0,0 +1,56 @@
+import { build } from 'hdr-histogram-js';
+import type { Measures } from '../Measures.js';
+import type { RequestClass } from './RequestClass.js';
+import type { RequestResult } from './RequestResult.js';
+import type { RequestScenario } from './RequestScenario.js';
+
+// The histogram counts whole numbers; 10 µs is fine enough for the shortest service times.
+const unitsPerMs = 100;
+
+const measureLatency = (results: RequestResult[], requestClass: RequestClass): Measures => {
+  const histogram = build({ numberOfSignificantValueDigits: 3 });
+  results
+    .filter(({ request, end }) => request.requestClass === requestClass && end !== 'cancelled')
+    // A request without an answer counts with its whole time limit; otherwise refusing would look fast.
+    .map(({ request, end, latencyMs }) => (end === 'answered' ? latencyMs : request.timeoutMs))
+    .forEach((ms) => histogram.recordValue(Math.round(ms * unitsPerMs)));
+  const at = (percentile: number): number =>
+    histogram.getValueAtPercentile(percentile) / unitsPerMs;
+  return {
+    [`${requestClass}-mean`]: histogram.totalCount === 0 ? 0 : histogram.mean / unitsPerMs,
+    [`${requestClass}-p50`]: at(50),
+    [`${requestClass}-p99`]: at(99),
+    [`${requestClass}-p99.9`]: at(99.9),
+  };
+};
+
+const computeWork = (results: RequestResult[]): number =>
+  results.reduce((sum, { request }) => sum + request.sizeMs, 0);
+
+// Demand is proportional to the weights up to chance, so the share of the demand that was served
+// stands for the weighted share.
+const measureFairness = (results: RequestResult[], workspaces: string[]): number => {
+  const shares = workspaces.map((workspace) => {
+    const own = results.filter(({ request }) => request.workspace === workspace);
+    return computeWork(own.filter(({ end }) => end === 'answered')) / (computeWork(own) || 1);
+  });
+  return Math.min(...shares) / Math.max(...shares);
+};
+
+/** Computes the measures of one run; latencies in milliseconds, the others as shares. */
+export const measureRequests = (scenario: RequestScenario, results: RequestResult[]): Measures => {
+  const kept = results.filter(({ end }) => end !== 'cancelled');
+  const countEnds = (ends: RequestResult['end'][]): number =>
+    kept.filter(({ end }) => ends.includes(end)).length / kept.length;
+  const spanMs = Math.max(...results.map(({ request }) => request.at));
+  const slots = scenario.workers.reduce((sum, worker) => sum + worker.slots, 0);
+  const usedMs = results.reduce((sum, result) => sum + result.usedMs, 0);
+  return {
+    ...measureLatency(results, 'counter'),
+    ...measureLatency(results, 'batch'),
+    refused: countEnds(['refused', 'failed']),
+    'in-deadline': countEnds(['answered']),
+    fairness: measureFairness(kept, Object.keys(scenario.weights)),
+    utilisation: usedMs / (slots * spanMs),
+  };
+};
--- /dev/null
+++ b/tools/bench/requests/workspaceWeights.ts
@@ -0,0 +1,7 @@
+/** Workspaces of the generated load; their demand is proportional to their weights. */
+export const workspaceWeights: Record<string, number> = {
+  desk: 4,
+  labels: 2,
+  lookup: 1,
+  archive: 1,
+};
