Give back grants that arrive after the caller's deadline

The load source let an attempt that was granted between the deadline and the next tick end in the past, which made latencies negative.

--- a/tools/bench/policies/createQueuePolicy.ts
+++ b/tools/bench/policies/createQueuePolicy.ts
@@ -63,7 +63,7 @@
       const worker = byId.get(workerId)!;
       worker.running.delete(getAttemptId(attempt));
       if (outcome === 'answered') worker.completed += 1;
-      else worker.failedAt.push(at);
+      else if (outcome !== 'unused') worker.failedAt.push(at);
       return assign(at);
     },
     cancel: (attempt, at) => {
