--- /dev/null
+++ b/tools/bench/experiments/JobExperiment.ts
@@ -0,0 +1,4 @@
+import type { JobScenario } from '../jobs/JobScenario.js';
+
+/** Builds the scenario of one seed; `scale` shortens the run, 1 for the measured length. */
+export type JobExperiment = (seed: number, scale: number) => JobScenario;
--- /dev/null
+++ b/tools/bench/jobs/FakeTask.ts
@@ -0,0 +1,8 @@
+import type { TaskReport } from '../../../src/core/ownership/TaskReport.js';
+
+/** One task on a fake worker. */
+export interface FakeTask {
+  workerId: string;
+  report: TaskReport;
+  startedAt: number | null;
+}
