Recover jobs from the log when a zone lost every scheduler

Cause: accepted jobs lived on the zone's schedulers only; the 'jobs' stream was written and never read, so the loss of both VMs of a zone lost the queue. Ruled out: queueing recovered jobs at once, as their tasks may still run on workers that are not claimed yet; counting attempts from zero, which would use task ids and record ids again. Conclusion: an accepted job outlives the schedulers of its zone.

--- a/src/adapters/mesh/messageSchemas.ts
+++ b/src/adapters/mesh/messageSchemas.ts
@@ -28,6 +28,8 @@
   spec: z.looseObject({ tasks: countSchema, acceleratorsPerTask: countSchema }),
 });
 
+const recoveredJobSchema = jobSchema.pick({ id: true, workspace: true, zone: true, spec: true });
+
 const recordSchema = z.looseObject({ kind: textSchema, id: textSchema });
 
 const batchSchema = { batchId: textSchema, records: z.array(recordSchema) };
@@ -102,6 +104,17 @@
     complete: z.boolean(),
   }),
   replicateAck: z.looseObject({ type: z.literal('replicateAck'), sequence: countSchema }),
+  jobsQuery: z.looseObject({
+    type: z.literal('jobsQuery'),
+    queryId: textSchema,
+    zone: textSchema,
+  }),
+  jobsRecovered: z.looseObject({
+    type: z.literal('jobsRecovered'),
+    queryId: textSchema,
+    jobs: z.array(recoveredJobSchema),
+    complete: z.boolean(),
+  }),
   command: z.looseObject({
     type: z.literal('command'),
     requestId: textSchema,
--- a/src/core/Message.ts
+++ b/src/core/Message.ts
@@ -1,6 +1,8 @@
 import type { CommandMessage } from './commands/CommandMessage.js';
 import type { CommandResultMessage } from './commands/CommandResultMessage.js';
 import type { HeartbeatMessage } from './membership/HeartbeatMessage.js';
+import type { JobsQueryMessage } from './recovery/JobsQueryMessage.js';
+import type { JobsRecoveredMessage } from './recovery/JobsRecoveredMessage.js';
 import type { CancelGrantMessage } from './routing/CancelGrantMessage.js';
 import type { GrantMessage } from './routing/GrantMessage.js';
 import type { GrantRequestMessage } from './routing/GrantRequestMessage.js';
@@ -26,6 +28,8 @@
   | CancelGrantMessage
   | ReplicateMessage
   | ReplicateAckMessage
+  | JobsQueryMessage
+  | JobsRecoveredMessage
   | CommandMessage
   | CommandResultMessage
   | SettingsTreeMessage
--- a/src/core/State.ts
+++ b/src/core/State.ts
@@ -3,6 +3,7 @@
 import type { JobsState } from './jobs/JobsState.js';
 import type { MembershipState } from './membership/MembershipState.js';
 import type { OwnershipState } from './ownership/OwnershipState.js';
+import type { RecoveryState } from './recovery/RecoveryState.js';
 import type { ReplicationState } from './replication/ReplicationState.js';
 import type { RequestsState } from './requests/RequestsState.js';
 import type { RoutingState } from './routing/RoutingState.js';
@@ -22,6 +23,7 @@
   requests: RequestsState;
   routing: RoutingState;
   replication: ReplicationState;
+  recovery: RecoveryState;
   jobs: JobsState;
   guarantees: GuaranteesState;
   usage: UsageState;
--- a/src/core/createState.ts
+++ b/src/core/createState.ts
@@ -3,6 +3,7 @@
 import { createJobsState } from './jobs/createJobsState.js';
 import { createMembershipState } from './membership/createMembershipState.js';
 import { createOwnershipState } from './ownership/createOwnershipState.js';
+import { createRecoveryState } from './recovery/createRecoveryState.js';
 import { createReplicationState } from './replication/createReplicationState.js';
 import { createRequestsState } from './requests/createRequestsState.js';
 import { createRoutingState } from './routing/createRoutingState.js';
@@ -27,6 +28,7 @@
   requests: createRequestsState(),
   routing: createRoutingState(),
   replication: createReplicationState(),
+  recovery: createRecoveryState(),
   jobs: createJobsState(),
   guarantees: createGuaranteesState(),
   usage: createUsageState(),
--- a/src/core/featureTables.ts
+++ b/src/core/featureTables.ts
@@ -4,6 +4,7 @@
 import { jobsHandlers } from './jobs/jobsHandlers.js';
 import { membershipHandlers } from './membership/membershipHandlers.js';
 import { ownershipHandlers } from './ownership/ownershipHandlers.js';
+import { recoveryHandlers } from './recovery/recoveryHandlers.js';
 import { replicationHandlers } from './replication/replicationHandlers.js';
 import { requestsHandlers } from './requests/requestsHandlers.js';
 import { routingHandlers } from './routing/routingHandlers.js';
@@ -19,6 +20,7 @@
   membershipHandlers,
   ownershipHandlers,
   guaranteesHandlers,
+  recoveryHandlers,
   jobsHandlers,
   routingHandlers,
   requestsHandlers,
--- /dev/null
+++ b/src/core/recovery/JobsQueryMessage.ts
@@ -0,0 +1,6 @@
+/** A new lead without a recent copy asks its recorder for the open jobs of its zone. */
+export interface JobsQueryMessage {
+  type: 'jobsQuery';
+  queryId: string;
+  zone: string;
+}
--- /dev/null
+++ b/src/core/recovery/addScanPage.ts
@@ -0,0 +1,19 @@
+import type { LogRecord } from '../log/LogRecord.js';
+import type { JobScan } from './JobScan.js';
+import { jobRecordSchema } from './jobRecordSchema.js';
+
+/** Adds the records of one page to a scan; an end counts wherever it stands. */
+export const addScanPage = (scan: JobScan, records: LogRecord[]): void => {
+  records.forEach(({ data }) => {
+    const parsed = jobRecordSchema.safeParse(data);
+    if (!parsed.success) return;
+    const record = parsed.data;
+    if (record.kind === 'jobEnded') {
+      scan.ended.add(record.jobId);
+      scan.open.delete(record.jobId);
+    } else if (record.job.zone === scan.zone && !scan.ended.has(record.job.id)) {
+      const { id, workspace, zone, spec, submittedWall } = record.job;
+      scan.open.set(id, { id, workspace, zone, spec, submittedWall });
+    }
+  });
+};
--- /dev/null
+++ b/src/core/recovery/handleJobsRecovered.ts
@@ -0,0 +1,23 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+import { resolvePending } from './resolvePending.js';
+
+/**
+ * Takes recovered jobs. They wait until a worker that still runs their tasks has been claimed or
+ * the tasks have lapsed, so that no gang starts beside an older attempt of itself.
+ */
+export const handleJobsRecovered = (state: State, event: EventOf<'jobsRecovered'>): Effect[] => {
+  const { recovery, timing } = state;
+  if (event.queryId !== recovery.queryId) return [];
+  const dueAt = event.at + timing.taskLeaseMs + timing.workerCallTimeoutMs;
+  recovery.pending.push(...event.jobs.map((job) => ({ job, dueAt })));
+  if (event.complete) {
+    recovery.askAt = null;
+    recovery.queryId = null;
+  }
+  resolvePending(state, event);
+  return [
+    { type: 'log', level: 'info', code: 'jobs_recovered', fields: { jobs: event.jobs.length } },
+  ];
+};
--- /dev/null
+++ b/src/core/recovery/handleLeadChanged.ts
@@ -0,0 +1,13 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+
+/** A lead that got no recent copy of the jobs asks for them; a former lead stops asking. */
+export const handleLeadChanged = (state: State, event: EventOf<'leadChanged'>): Effect[] => {
+  const { recovery, replication, timing } = state;
+  const hasCopy = event.at - replication.lastCopyAt < timing.aloneAfterMs;
+  recovery.askAt = event.lead && !hasCopy ? event.at : null;
+  recovery.pending = [];
+  recovery.nextReappendAt = event.lead ? event.at + timing.logRetentionMs / 3 : Infinity;
+  return [];
+};
--- /dev/null
+++ b/src/core/recovery/handleLinkClosed.ts
@@ -0,0 +1,11 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { State } from '../State.js';
+
+/** Drops the scan of a scheduler that is gone; asks again when the recorder is. */
+export const handleLinkClosed = (state: State, event: EventOf<'linkClosed'>): Effect[] => {
+  const { recovery, self } = state;
+  recovery.scans.delete(event.node);
+  if (event.node === `${self.vmId}/recorder` && recovery.askAt !== null) recovery.askAt = event.at;
+  return [];
+};
--- /dev/null
+++ b/src/core/recovery/readScan.ts
@@ -0,0 +1,21 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import type { JobScan } from './JobScan.js';
+
+const pageLimit = 1000;
+
+/** Reads the next page of the `jobs` stream. */
+export const readScan = (state: State, scan: JobScan): Effect[] => {
+  scan.readId = `jobs/${state.self.incarnation}/${state.recovery.nextRead}`;
+  state.recovery.nextRead += 1;
+  return [
+    {
+      type: 'readLog',
+      readId: scan.readId,
+      stream: 'jobs',
+      fromOffset: scan.nextOffset,
+      limit: pageLimit,
+      waitMs: 0,
+    },
+  ];
+};
