Measure the cost of events and messages by size

tools/slopes drives the real reducer and codec with prepared events on virtual time and fits each cost against one size. A simulated cluster was ruled out, because its own cost would be part of each figure.

--- /dev/null
+++ b/test/tools/slopes/computeFit.test.ts
@@ -0,0 +1,26 @@
+import { expect, test } from '@jest/globals';
+import { computeFit } from '../../../tools/slopes/computeFit.js';
+
+// A wrong slope would carry into every figure of docs/CAPACITY.md.
+test('finds the slope and intercept of an exact line', () => {
+  const fit = computeFit([1, 2, 5, 10].map((x) => [x, 3 + 2 * x]));
+  expect(fit.slope).toBeCloseTo(2);
+  expect(fit.intercept).toBeCloseTo(3);
+  expect(fit.r2).toBeCloseTo(1);
+});
+
+test('shows a quadratic cost by its exponent', () => {
+  const fit = computeFit([10, 20, 40, 80].map((x) => [x, 7 * x * x]));
+  expect(fit.exponent).toBeCloseTo(2);
+  expect(fit.r2).toBeLessThan(0.99);
+});
+
+test('lowers r2 for points off the line', () => {
+  const fit = computeFit([
+    [1, 1],
+    [2, 4],
+    [3, 2],
+  ]);
+  expect(fit.slope).toBeCloseTo(0.5);
+  expect(fit.r2).toBeCloseTo(3 / 28);
+});
--- /dev/null
+++ b/tools/slopes/Fit.ts
@@ -0,0 +1,11 @@
+/** Straight line through measured points, and how the values grow. */
+export interface Fit {
+  /** Change of the value per unit of the size. */
+  slope: number;
+  /** Value at size 0. */
+  intercept: number;
+  /** Share of the variance that the line explains. */
+  r2: number;
+  /** Slope of log(value) over log(size): 0 is constant, 1 linear, 2 quadratic. */
+  exponent: number;
+}
--- /dev/null
+++ b/tools/slopes/TreeSize.ts
@@ -0,0 +1,8 @@
+/** Sizes of a generated settings tree. */
+export interface TreeSize {
+  zones: number;
+  /** Workers of all zones. */
+  workers: number;
+  teams: number;
+  workspacesPerTeam: number;
+}
--- /dev/null
+++ b/tools/slopes/createTree.ts
@@ -0,0 +1,68 @@
+import type { SettingsTree } from '../../src/core/settings/SettingsTree.js';
+import type { TeamSettings } from '../../src/core/settings/TeamSettings.js';
+import type { WorkerSettings } from '../../src/core/settings/WorkerSettings.js';
+import type { ZoneSettings } from '../../src/core/settings/ZoneSettings.js';
+import { targetSize } from './targetSize.js';
+import type { TreeSize } from './TreeSize.js';
+
+const workersPerRack = 6;
+
+const formatZone = (index: number): string => `zone-${String(index).padStart(2, '0')}`;
+
+const createWorker = (index: number): WorkerSettings => ({
+  url: `http://10.${Math.floor(index / 65_536)}.${Math.floor(index / 256) % 256}.${index % 256}:9100`,
+  rack: `rack-${String(Math.floor(index / workersPerRack)).padStart(4, '0')}`,
+  accelerators: 8,
+  slots: 8,
+  connections: 64,
+  drained: false,
+});
+
+const createZoneSettings = (first: number, count: number): ZoneSettings => ({
+  workers: Object.fromEntries(
+    Array.from({ length: count }, (_, offset) => [
+      `worker-${String(first + offset).padStart(5, '0')}`,
+      createWorker(first + offset),
+    ]),
+  ),
+});
+
+// Guarantees are spread over the target's zones even if only one of these has workers.
+const createTeam = (team: number, { workspacesPerTeam }: TreeSize): TeamSettings => ({
+  tokenHashes: [String(team).padStart(64, 'a'), String(team).padStart(64, 'b')],
+  workspaces: Object.fromEntries(
+    Array.from({ length: workspacesPerTeam }, (_, index) => {
+      const number = team * workspacesPerTeam + index;
+      const zone = formatZone(number % targetSize.zones);
+      return [
+        `workspace-${String(number).padStart(4, '0')}`,
+        {
+          weight: 1,
+          guarantees: [{ zone, workers: 2, acceleratorsPerWorker: 4, adjacency: 'zone' }],
+          maxAccelerators: 100_000,
+          maxQueuedRequests: 1000,
+        },
+      ];
+    }),
+  ),
+});
+
+/** Creates a settings tree with one guarantee for each workspace. */
+export const createTree = (size: TreeSize): SettingsTree => {
+  const perZone = Math.ceil(size.workers / size.zones);
+  return {
+    zones: Object.fromEntries(
+      Array.from({ length: size.zones }, (_, zone) => {
+        const first = zone * perZone;
+        const count = Math.max(0, Math.min(perZone, size.workers - first));
+        return [formatZone(zone), createZoneSettings(first, count)];
+      }),
+    ),
+    teams: Object.fromEntries(
+      Array.from({ length: size.teams }, (_, team) => [
+        `team-${String(team).padStart(3, '0')}`,
+        createTeam(team, size),
+      ]),
+    ),
+  };
+};
--- /dev/null
+++ b/tools/slopes/createUsageRecord.ts
@@ -0,0 +1,14 @@
+import type { UsageRecord } from '../../src/core/usage/UsageRecord.js';
+import { virtualTime } from './virtualTime.js';
+
+/** Creates the record of one task's start. */
+export const createUsageRecord = (index: number): UsageRecord => ({
+  kind: 'taskStarted',
+  id: `job-000000000017/1/${index}/taskStarted`,
+  workspace: 'workspace-0017',
+  jobId: 'job-000000000017',
+  taskId: `job-000000000017.1.${index}`,
+  workerId: 'worker-00017',
+  accelerators: 1,
+  wall: virtualTime.wall,
+});
--- /dev/null
+++ b/tools/slopes/dropJobs.ts
@@ -0,0 +1,14 @@
+import type { State } from '../../src/core/State.js';
+
+/** Forgets ended jobs and their records, so that repeated runs meet a state of the same size. */
+export const dropJobs = (state: State, ids: readonly string[]): void => {
+  ids.forEach((id) => {
+    const job = state.jobs.jobs.get(id);
+    if (job) state.jobs.jobsByWorkspace.get(job.workspace)?.delete(id);
+    state.jobs.jobs.delete(id);
+    state.replication.changedJobs.delete(id);
+  });
+  state.jobs.deadlines = state.jobs.deadlines.filter(({ jobId }) => state.jobs.jobs.has(jobId));
+  state.usage.open = [];
+  state.usage.runs.clear();
+};
--- /dev/null
+++ b/tools/slopes/gangSeries.ts
@@ -0,0 +1,99 @@
+import { reduce } from '../../src/core/reduce.js';
+import type { State } from '../../src/core/State.js';
+import type { WorkerCall } from '../../src/core/ownership/WorkerCall.js';
+import { addRunningTasks } from './addRunningTasks.js';
+import { cancelJobs } from './cancelJobs.js';
+import { createDaemonState } from './createDaemonState.js';
+import { createReports } from './createReports.js';
+import { dropJobs } from './dropJobs.js';
+import { runRenewals } from './runRenewals.js';
+import type { Series } from './Series.js';
+import { seriesSizes } from './seriesSizes.js';
+import type { Subject } from './Subject.js';
+import { submitJobs } from './submitJobs.js';
+import { virtualTime } from './virtualTime.js';
+
+const gang = ['gang'];
+
+const answerCalls = (state: State, call: Exclude<WorkerCall['kind'], 'lease'>): void =>
+  state.jobs.jobs.get('gang')!.parts.forEach(({ workerId, taskId }) => {
+    reduce(state, { type: 'taskAnswered', workerId, taskId, call, accepted: true, ...virtualTime });
+  });
+
+const startGang = (state: State, parts: number): void => {
+  submitJobs(state, gang, { tasks: parts });
+  answerCalls(state, 'prepareTask');
+  answerCalls(state, 'startTask');
+};
+
+const createStart = (parts: number): Subject => {
+  const state = createDaemonState('scheduler');
+  return {
+    operations: parts,
+    prepare: () => {
+      if (state.jobs.jobs.has('gang')) cancelJobs(state, gang, true);
+      dropJobs(state, gang);
+    },
+    run: () => startGang(state, parts),
+  };
+};
+
+const createFinish = (parts: number): Subject => {
+  const state = createDaemonState('scheduler');
+  let reports = createReports(state);
+  return {
+    operations: parts,
+    prepare: () => {
+      dropJobs(state, gang);
+      startGang(state, parts);
+      reports = createReports(state);
+      reports.forEach(({ tasks }) =>
+        tasks.forEach((task) => {
+          task.state = 'finished';
+        }),
+      );
+    },
+    run: () => runRenewals(state, reports),
+  };
+};
+
+// A gang of one accelerator a part fills its workers, eight parts on each.
+const createPacked = (parts: number): State => {
+  const state = createDaemonState('scheduler', { workers: parts / 8, teams: 1 });
+  addRunningTasks(state, parts, parts);
+  return state;
+};
+
+const createDueTick = (parts: number): Subject => {
+  const state = createPacked(parts);
+  return {
+    operations: parts / 8,
+    prepare: () =>
+      state.ownership.leases.forEach((lease) => {
+        lease.nextCallAt = 0;
+        lease.callSentAt = null;
+      }),
+    run: () => reduce(state, { type: 'tick', ...virtualTime }),
+  };
+};
+
+const createAnswers = (parts: number): Subject => {
+  const state = createPacked(parts);
+  const reports = createReports(state);
+  return { operations: reports.size, run: () => runRenewals(state, reports) };
+};
+
+const makeSeries = (operation: string, create: Series['create']): Series => ({
+  axis: 'parts of one gang',
+  operation,
+  sizes: seriesSizes.parts,
+  create,
+});
+
+/** Costs of gangs, each for one part or one worker, so that an exponent of 0 is linear in all. */
+export const gangSeries: Readonly<Record<string, Series>> = {
+  'gang start': makeSeries('part, from submitJob to running', createStart),
+  'gang finish': makeSeries('part, by leaseAnswered', createFinish),
+  'tick, every renewal of a gang due': makeSeries('worker of 8 parts', createDueTick),
+  'leaseAnswered renew, workers of a gang': makeSeries('worker of 8 parts', createAnswers),
+};
--- /dev/null
+++ b/tools/slopes/heapSeries.ts
@@ -0,0 +1,74 @@
+import { addRunningTasks } from './addRunningTasks.js';
+import { createDaemonState } from './createDaemonState.js';
+import { createSnapshot } from './createSnapshot.js';
+import { createUsageRecord } from './createUsageRecord.js';
+import { openLinks } from './openLinks.js';
+import { seriesSizes } from './seriesSizes.js';
+import { decodeMessage } from '../../src/adapters/mesh/decodeMessage.js';
+import { encodeMessage } from '../../src/adapters/mesh/encodeMessage.js';
+import { reduce } from '../../src/core/reduce.js';
+import { virtualTime } from './virtualTime.js';
+
+/** What is held in memory at one size; measured after a collection. */
+interface HeapSeries {
+  axis: string;
+  sizes: readonly number[];
+  create: (size: number) => unknown;
+}
+
+const createTasks = (tasks: number, parts: number): unknown => {
+  const state = createDaemonState('scheduler', { workers: 567, teams: 1 });
+  addRunningTasks(state, tasks, parts);
+  return state;
+};
+
+/** Series of heap, by name; a decoded tree is what every daemon holds. */
+export const heapSeries: Readonly<Record<string, HeapSeries>> = {
+  'workers of the own zone, no tasks': {
+    axis: 'workers',
+    sizes: seriesSizes.workers,
+    create: (workers) => createDaemonState('scheduler', { workers }),
+  },
+  'tasks in jobs of 20 parts': {
+    axis: 'tasks',
+    sizes: seriesSizes.tasks,
+    create: (tasks) => createTasks(tasks, 20),
+  },
+  'jobs of one part': {
+    axis: 'jobs',
+    sizes: seriesSizes.jobs,
+    create: (jobs) => createTasks(jobs, 1),
+  },
+  'settings tree as decoded, by workers': {
+    axis: 'workers in the tree',
+    sizes: [1062, 2125, 4250, 8500, 17_000],
+    create: (workers) => {
+      const message = { type: 'settingsTree', snapshot: createSnapshot({ workers }) } as const;
+      return decodeMessage(encodeMessage(message));
+    },
+  },
+  'settings tree, by workspaces': {
+    axis: 'workspaces',
+    sizes: seriesSizes.workspaces,
+    create: (teams) => createSnapshot({ workers: 71, teams, workspacesPerTeam: 1 }),
+  },
+  'links to the daemons of other VMs': {
+    axis: 'VMs linked',
+    sizes: [90, 180, 360, 720, 1440],
+    create: (vms) => {
+      const state = createDaemonState('gateway', { workers: 71 });
+      openLinks(state, vms);
+      return state;
+    },
+  },
+  'usage records not yet stored': {
+    axis: 'records',
+    sizes: seriesSizes.tasks,
+    create: (count) => {
+      const state = createDaemonState('scheduler', { workers: 71 });
+      const records = Array.from({ length: count }, (_, index) => createUsageRecord(index));
+      reduce(state, { type: 'usageNoted', records, ...virtualTime });
+      return state;
+    },
+  },
+};
--- /dev/null
+++ b/tools/slopes/jobSeries.ts
@@ -0,0 +1,100 @@
+import type { JobSpec } from '../../src/core/jobs/JobSpec.js';
+import type { State } from '../../src/core/State.js';
+import { addRunningTasks } from './addRunningTasks.js';
+import { cancelJobs } from './cancelJobs.js';
+import { createDaemonState } from './createDaemonState.js';
+import { createZoneLoad } from './createZoneLoad.js';
+import { dropJobs } from './dropJobs.js';
+import type { Series } from './Series.js';
+import { seriesSizes } from './seriesSizes.js';
+import type { Subject } from './Subject.js';
+import { submitJobs } from './submitJobs.js';
+import { targetSize } from './targetSize.js';
+
+const listIds = (prefix: string, count: number): string[] =>
+  Array.from({ length: count }, (_, index) => `${prefix}-${index}`);
+
+const measured = listIds('measured', 8);
+
+const createSubmit = (state: State, spec: Partial<JobSpec> = {}): Subject => {
+  const finish = (): void => {
+    const known = measured.filter((id) => state.jobs.jobs.has(id));
+    cancelJobs(state, known, true);
+    dropJobs(state, measured);
+  };
+  return {
+    operations: measured.length,
+    prepare: finish,
+    run: () => submitJobs(state, measured, spec),
+  };
+};
+
+const createCancel = (state: State, spec: Partial<JobSpec> = {}): Subject => ({
+  operations: measured.length,
+  prepare: () => {
+    dropJobs(state, measured);
+    submitJobs(state, measured, spec);
+  },
+  run: () => cancelJobs(state, measured, true),
+});
+
+const createQueue = (queued: number): State => {
+  const state = createDaemonState('scheduler');
+  // A whole zone of single tasks: nothing that is queued fits.
+  addRunningTasks(state, targetSize.zoneWorkers * 8);
+  submitJobs(state, listIds('queued', queued));
+  return state;
+};
+
+const createKnown = (jobs: number): State => {
+  const state = createDaemonState('scheduler');
+  const ids = listIds('ended', jobs);
+  addRunningTasks(state, targetSize.zoneTasks);
+  submitJobs(state, ids);
+  cancelJobs(state, ids, true);
+  state.replication.changedJobs.clear();
+  return state;
+};
+
+const createTeams = (teams: number): State =>
+  createDaemonState('scheduler', { teams, workspacesPerTeam: 1 });
+
+/** Costs of submitting and cancelling jobs. */
+export const jobSeries: Readonly<Record<string, Series>> = {
+  'submitJob that starts': {
+    axis: 'workers',
+    operation: 'job of one part',
+    sizes: seriesSizes.workers,
+    create: (workers) => createSubmit(createZoneLoad(workers)),
+  },
+  'cancelJob that runs': {
+    axis: 'workers',
+    operation: 'job of one part',
+    sizes: seriesSizes.workers,
+    create: (workers) => createCancel(createZoneLoad(workers)),
+  },
+  'submitJob that waits': {
+    axis: 'queued jobs',
+    operation: 'job of one part',
+    sizes: seriesSizes.queuedJobs,
+    create: (queued) => createSubmit(createQueue(queued)),
+  },
+  'cancelJob that waits': {
+    axis: 'queued jobs',
+    operation: 'job of one part',
+    sizes: seriesSizes.queuedJobs,
+    create: (queued) => createCancel(createQueue(queued)),
+  },
+  'submitJob, by ended jobs': {
+    axis: 'ended jobs',
+    operation: 'job of one part',
+    sizes: seriesSizes.jobs,
+    create: (jobs) => createSubmit(createKnown(jobs)),
+  },
+  'submitJob, by workspaces': {
+    axis: 'workspaces, one a team',
+    operation: 'job of one part',
+    sizes: seriesSizes.workspaces,
+    create: (teams) => createSubmit(createTeams(teams)),
+  },
+};
--- /dev/null
+++ b/tools/slopes/leaseSeries.ts
@@ -0,0 +1,97 @@
+import { reduce } from '../../src/core/reduce.js';
+import type { State } from '../../src/core/State.js';
+import { addRunningTasks } from './addRunningTasks.js';
+import { createDaemonState } from './createDaemonState.js';
+import { createReports } from './createReports.js';
+import { createZoneLoad } from './createZoneLoad.js';
+import { runRenewals } from './runRenewals.js';
+import type { Series } from './Series.js';
+import { seriesSizes } from './seriesSizes.js';
+import type { Subject } from './Subject.js';
+import { targetSize } from './targetSize.js';
+import { virtualTime } from './virtualTime.js';
+
+const sampleWorkers = 64;
+
+const createTick = (state: State): Subject => ({
+  operations: 1,
+  run: () => reduce(state, { type: 'tick', ...virtualTime }),
+});
+
+const createDueTick = (state: State): Subject => ({
+  ...createTick(state),
+  prepare: () =>
+    state.ownership.leases.forEach((lease) => {
+      lease.nextCallAt = 0;
+      lease.callSentAt = null;
+    }),
+});
+
+const createRenewals = (state: State): Subject => {
+  const reports = createReports(state, sampleWorkers);
+  return { operations: reports.size, run: () => runRenewals(state, reports) };
+};
+
+const createTasks = (workers: number, tasks: number): State => {
+  const state = createDaemonState('scheduler', { workers });
+  addRunningTasks(state, tasks);
+  return state;
+};
+
+const createTakeover = (workers: number): Subject => {
+  const state = createZoneLoad(workers);
+  const reports = createReports(state);
+  return {
+    operations: reports.size,
+    prepare: () =>
+      state.ownership.leases.forEach((lease) => {
+        lease.status = 'claiming';
+        lease.callSentAt = virtualTime.at;
+      }),
+    run: () =>
+      reports.forEach((report, workerId) => {
+        const claim = { type: 'leaseAnswered', workerId, purpose: 'claim' } as const;
+        reduce(state, { ...claim, sentAt: virtualTime.at, report, ...virtualTime });
+      }),
+  };
+};
+
+/** Costs of worker leases. */
+export const leaseSeries: Readonly<Record<string, Series>> = {
+  'tick, nothing due': {
+    axis: 'workers',
+    operation: 'tick',
+    sizes: seriesSizes.workers,
+    create: (workers) => createTick(createZoneLoad(workers)),
+  },
+  'tick, every renewal due': {
+    axis: 'workers',
+    operation: 'tick',
+    sizes: seriesSizes.workers,
+    create: (workers) => createDueTick(createZoneLoad(workers)),
+  },
+  'tick, nothing due, by tasks': {
+    axis: 'tasks on 17,000 workers',
+    operation: 'tick',
+    sizes: seriesSizes.tasks,
+    create: (tasks) => createTick(createTasks(targetSize.workers, tasks)),
+  },
+  'leaseAnswered renew': {
+    axis: 'workers',
+    operation: 'event',
+    sizes: seriesSizes.workers,
+    create: (workers) => createRenewals(createZoneLoad(workers)),
+  },
+  'leaseAnswered renew, by tasks': {
+    axis: 'tasks on 17,000 workers',
+    operation: 'event',
+    sizes: seriesSizes.tasks,
+    create: (tasks) => createRenewals(createTasks(targetSize.workers, tasks)),
+  },
+  'leaseAnswered claim, whole zone': {
+    axis: 'workers',
+    operation: 'event',
+    sizes: seriesSizes.zoneWorkers,
+    create: createTakeover,
+  },
+};
--- /dev/null
+++ b/tools/slopes/measureLeaseCall.ts
@@ -0,0 +1,43 @@
+import { buildWorkerHttpCall } from '../../src/adapters/worker/buildWorkerHttpCall.js';
+import { defaultTiming } from '../../src/core/defaultTiming.js';
+import { addRunningTasks } from './addRunningTasks.js';
+import { createDaemonState } from './createDaemonState.js';
+import { createTaskReport } from './createTaskReport.js';
+
+/**
+ * Estimates of what HTTP adds: request line, host, connection, content type and length; status
+ * line, content type, date, connection, keep-alive and length.
+ */
+const requestHeaderBytes = 150;
+const answerHeaderBytes = 180;
+
+/** Bytes of one renewal of a worker with a number of tasks; the headers are estimates. */
+interface LeaseCallBytes {
+  requestBody: number;
+  answerBody: number;
+  requestHeaders: number;
+  answerHeaders: number;
+}
+
+/** Measures the JSON of a renewal and of its answer. */
+export const measureLeaseCall = (tasks: number): LeaseCallBytes => {
+  const state = createDaemonState('scheduler', { workers: 1, teams: 1 });
+  addRunningTasks(state, tasks, 1);
+  const [workerId] = state.ownership.leases.keys();
+  const report = createTaskReport(state, workerId!);
+  const { body } = buildWorkerHttpCall({
+    kind: 'lease',
+    purpose: 'renew',
+    sentAt: 0,
+    holder: 'vm-000/a1b2c3d4',
+    leaseMs: defaultTiming.holderLeaseMs,
+    taskLeaseMs: defaultTiming.taskLeaseMs,
+    renewTasks: report.tasks.map(({ taskId }) => taskId),
+  });
+  return {
+    requestBody: Buffer.byteLength(JSON.stringify(body)),
+    answerBody: Buffer.byteLength(JSON.stringify(report)),
+    requestHeaders: requestHeaderBytes,
+    answerHeaders: answerHeaderBytes,
+  };
+};
--- /dev/null
+++ b/tools/slopes/replicationSeries.ts
@@ -0,0 +1,52 @@
+import { reduce } from '../../src/core/reduce.js';
+import type { Job } from '../../src/core/jobs/Job.js';
+import type { State } from '../../src/core/State.js';
+import { addRunningTasks } from './addRunningTasks.js';
+import { createDaemonState } from './createDaemonState.js';
+import { createRunningJob } from './createRunningJob.js';
+import type { Series } from './Series.js';
+import { seriesSizes } from './seriesSizes.js';
+import type { Subject } from './Subject.js';
+import { targetSize } from './targetSize.js';
+import { virtualTime } from './virtualTime.js';
+
+const createFollower = (tasks: number): State => {
+  const state = createDaemonState('scheduler');
+  addRunningTasks(state, tasks);
+  state.ownership.leases.forEach((lease) => {
+    lease.status = 'foreign';
+  });
+  state.ownership.lead = false;
+  return state;
+};
+
+const createCopies = (state: State, parts: number): Subject => {
+  const workers = [...state.ownership.leases.keys()];
+  const places = Array.from({ length: parts }, (_, index) => workers[index % workers.length]!);
+  const jobs: Job[] = [createRunningJob('copied', 'workspace-0001', places)];
+  const message = { type: 'replicate', sequence: 1, keys: [], freedKeys: [], jobs } as const;
+  return {
+    operations: 1,
+    run: () => {
+      const event = { ...message, freedKeys: [], keys: [], complete: true };
+      reduce(state, { ...event, from: 'vm-001/scheduler', ...virtualTime });
+    },
+  };
+};
+
+/** Costs of the lead's copies at the other schedulers of the zone. */
+export const replicationSeries: Readonly<Record<string, Series>> = {
+  'replicate of one job, by jobs': {
+    axis: 'jobs of 20 parts known',
+    operation: 'event',
+    sizes: [127, 500, 1000, 2000, 3833],
+    create: (jobs) =>
+      createCopies(createFollower(jobs * targetSize.partsPerJob), targetSize.partsPerJob),
+  },
+  'replicate of one gang': {
+    axis: 'parts of one gang',
+    operation: 'event',
+    sizes: seriesSizes.parts,
+    create: (parts) => createCopies(createFollower(targetSize.zoneTasks), parts),
+  },
+};
--- /dev/null
+++ b/tools/slopes/seriesTable.ts
@@ -0,0 +1,21 @@
+import { gangSeries } from './gangSeries.js';
+import { jobSeries } from './jobSeries.js';
+import { leaseSeries } from './leaseSeries.js';
+import { memberSeries } from './memberSeries.js';
+import { replicationSeries } from './replicationSeries.js';
+import { routingSeries } from './routingSeries.js';
+import type { Series } from './Series.js';
+import { settingsSeries } from './settingsSeries.js';
+import { usageSeries } from './usageSeries.js';
+
+/** Series of processor time, by name. */
+export const seriesTable: Readonly<Record<string, Series>> = {
+  ...leaseSeries,
+  ...routingSeries,
+  ...jobSeries,
+  ...gangSeries,
+  ...replicationSeries,
+  ...settingsSeries,
+  ...memberSeries,
+  ...usageSeries,
+};
--- /dev/null
+++ b/tools/slopes/settingsSeries.ts
@@ -0,0 +1,96 @@
+import { decodeMessage } from '../../src/adapters/mesh/decodeMessage.js';
+import { encodeMessage } from '../../src/adapters/mesh/encodeMessage.js';
+import { reduce } from '../../src/core/reduce.js';
+import type { Role } from '../../src/core/Role.js';
+import { acceptRecord } from '../../src/core/settings/acceptRecord.js';
+import type { SettingsFold } from '../../src/core/settings/SettingsFold.js';
+import type { SubtreePath } from '../../src/core/settings/SubtreePath.js';
+import { createDaemonState } from './createDaemonState.js';
+import { createSnapshot } from './createSnapshot.js';
+import type { Series } from './Series.js';
+import type { Subject } from './Subject.js';
+import type { TreeSize } from './TreeSize.js';
+import { virtualTime } from './virtualTime.js';
+
+const treeWorkers = [1062, 2125, 4250, 8500, 17_000];
+const treeTeams = [11, 22, 45, 89, 178];
+
+const createApply = (role: Role, size: Partial<TreeSize>): Subject => {
+  const snapshot = createSnapshot(size);
+  const state = createDaemonState(role, { zones: 30, workers: 17_000, ...size });
+  const from = 'vm-000/recorder' as const;
+  return {
+    operations: 1,
+    run: () => {
+      const version = state.settings.inForce!.version + 1;
+      const event = { type: 'settingsTree', snapshot: { ...snapshot, version }, from } as const;
+      reduce(state, { ...event, ...virtualTime });
+    },
+  };
+};
+
+const createAccept = (path: SubtreePath, size: Partial<TreeSize>): Subject => {
+  const snapshot = createSnapshot(size);
+  const { zones, teams } = snapshot.tree;
+  const subtree = path === 'zones' ? zones : teams['team-001'];
+  const verdicts: SettingsFold['verdicts'] = Array.from({ length: 200 }, (_, index) => ({
+    proposalId: `proposal-${index}`,
+    path,
+    author: 'ada',
+    offset: index,
+    wall: virtualTime.wall,
+    refusal: null,
+  }));
+  const fold = { offset: 1, snapshot, verdicts };
+  const data = {
+    kind: 'proposal',
+    proposalId: 'new',
+    path,
+    expectedVersion: 1,
+    subtree,
+    author: 'ada',
+  };
+  const record = { offset: 1000, wall: virtualTime.wall, data };
+  if (acceptRecord(fold, record).snapshot.version !== 1000) throw new Error('proposal refused');
+  return { operations: 1, run: () => acceptRecord(fold, record) };
+};
+
+const createCodec = (size: Partial<TreeSize>): { encode: Subject; decode: Subject } => {
+  const message = { type: 'settingsTree', snapshot: createSnapshot(size) } as const;
+  const data = encodeMessage(message);
+  return {
+    encode: { operations: 1, run: () => encodeMessage(message) },
+    decode: { operations: 1, run: () => decodeMessage(data) },
+  };
+};
+
+const makeSeries = (axis: 'workers' | 'teams', create: Series['create']): Series => ({
+  axis: `${axis} in the tree`,
+  operation: 'event',
+  sizes: axis === 'workers' ? treeWorkers : treeTeams,
+  create,
+});
+
+/** Costs of settings; the other sizes of the tree are those of the target. */
+export const settingsSeries: Readonly<Record<string, Series>> = {
+  'settingsTree at a scheduler': makeSeries('workers', (workers) =>
+    createApply('scheduler', { workers }),
+  ),
+  'settingsTree at a scheduler, by teams': makeSeries('teams', (teams) =>
+    createApply('scheduler', { teams }),
+  ),
+  'settingsTree at a gateway': makeSeries('workers', (workers) =>
+    createApply('gateway', { workers }),
+  ),
+  'acceptRecord of one team': makeSeries('workers', (workers) =>
+    createAccept('teams/team-001', { workers }),
+  ),
+  'acceptRecord of one team, by teams': makeSeries('teams', (teams) =>
+    createAccept('teams/team-001', { teams }),
+  ),
+  'acceptRecord of all zones': makeSeries('workers', (workers) =>
+    createAccept('zones', { workers }),
+  ),
+  'settingsTree encoded': makeSeries('workers', (workers) => createCodec({ workers }).encode),
+  'settingsTree decoded': makeSeries('workers', (workers) => createCodec({ workers }).decode),
+};
--- /dev/null
+++ b/tools/slopes/slopes.ts
@@ -0,0 +1,72 @@
+// Measures what events, messages and state cost at different sizes; docs/CAPACITY.md uses the
+// figures. Run by `npm run slopes -- [--json FILE] [--only TEXT]`.
+import fs from 'node:fs';
+import { parseArgs } from 'node:util';
+import { computeAppends } from './computeAppends.js';
+import { formatResult } from './formatResult.js';
+import { heapSeries } from './heapSeries.js';
+import { measureHeap } from './measureHeap.js';
+import { measureLeaseCall } from './measureLeaseCall.js';
+import { measureMessage } from './measureMessage.js';
+import { measureSeries } from './measureSeries.js';
+import { messageSamples } from './messageSamples.js';
+import { seriesTable } from './seriesTable.js';
+
+const { values } = parseArgs({
+  options: { json: { type: 'string' }, only: { type: 'string', default: '' } },
+});
+
+const print = (line: string): void => {
+  process.stdout.write(`${line}\n`);
+};
+
+const printTable = (title: string, header: string[]): void =>
+  print(`\n## ${title}\n\n| ${header.join(' | ')} |\n|${'---|'.repeat(header.length)}`);
+
+const listChosen = <T>(table: Readonly<Record<string, T>>): [string, T][] =>
+  Object.entries(table).filter(([name]) => name.includes(values.only));
+
+if (!globalThis.gc) throw new Error('run node with --expose-gc');
+
+const started = performance.now();
+const columns = ['series', 'operation', 'size n', 'n: median (range)', 'fit', 'quality'];
+printTable('Microseconds', columns);
+const times = listChosen(seriesTable).map(([name, series]) => {
+  const result = measureSeries(name, series);
+  print(formatResult(result));
+  return result;
+});
+printTable('Bytes of heap', columns);
+const heap = listChosen(heapSeries).map(([name, series]) => {
+  const result = measureHeap(name, series);
+  print(formatResult(result));
+  return result;
+});
+printTable('Messages', ['message', 'bytes', 'at most 1 MiB', 'encode µs', 'decode µs']);
+const messages = listChosen(messageSamples).map(([name, create]) => {
+  const cost = measureMessage(create());
+  const time = `${cost.encodeUs.toFixed(1)} | ${cost.decodeUs.toFixed(1)}`;
+  print(`| ${name} | ${cost.bytes} | ${cost.withinLimit ? 'yes' : 'no'} | ${time} |`);
+  return { name, ...cost };
+});
+printTable('Bytes of one renewal', ['tasks', 'request body', 'answer body', 'headers (estimate)']);
+const leaseCalls = [0, 1, 2, 4, 8].map((tasks) => {
+  const bytes = measureLeaseCall(tasks);
+  const headers = `${bytes.requestHeaders} + ${bytes.answerHeaders}`;
+  print(`| ${tasks} | ${bytes.requestBody} | ${bytes.answerBody} | ${headers} |`);
+  return { tasks, ...bytes };
+});
+printTable('Appends a second', ['VMs', 'usage (bound)', 'jobs', 'settings', 'total']);
+const appends = [60, 90, 180].map((vms) => {
+  const rates = computeAppends(vms);
+  const shown = [rates.usage, rates.jobs, rates.settings, rates.total];
+  print(`| ${vms} | ${shown.map((rate) => rate.toFixed(2)).join(' | ')} |`);
+  return { vms, ...rates };
+});
+print(`\nnode ${process.version}, ${((performance.now() - started) / 1000).toFixed(0)} s`);
+if (values.json !== undefined) {
+  fs.writeFileSync(
+    values.json,
+    JSON.stringify({ times, heap, messages, leaseCalls, appends }, null, 2),
+  );
+}
--- /dev/null
+++ b/tools/slopes/targetSize.ts
@@ -0,0 +1,16 @@
+/** Sizes at which docs/CAPACITY.md states the costs; docs/design.md, section 1.3, gives them. */
+export const targetSize = {
+  workers: 17_000,
+  tasks: 76_000,
+  jobsPerDay: 23_000,
+  teams: 89,
+  zones: 30,
+  changesPerDay: 7100,
+  /** Workers and tasks of one zone, rounded up. */
+  zoneWorkers: 567,
+  zoneTasks: 2534,
+  /** Estimate: four workspaces a team, as each office has at present. */
+  workspacesPerTeam: 4,
+  /** Estimate: jobs of 4 h mean that 3,833 run at once, with 20 of the 76,000 tasks each. */
+  partsPerJob: 20,
+} as const;
--- /dev/null
+++ b/tools/slopes/usageSeries.ts
@@ -0,0 +1,66 @@
+import { reduce } from '../../src/core/reduce.js';
+import { createDaemonState } from './createDaemonState.js';
+import { createUsageRecord } from './createUsageRecord.js';
+import { openLinks } from './openLinks.js';
+import type { Series } from './Series.js';
+import { seriesSizes } from './seriesSizes.js';
+import type { Subject } from './Subject.js';
+import { virtualTime } from './virtualTime.js';
+
+const noted = 100;
+
+const createNoted = (tasks: number): Subject => {
+  const state = createDaemonState('scheduler', { workers: 71 });
+  const known = Array.from({ length: tasks }, (_, index) => createUsageRecord(index));
+  reduce(state, { type: 'usageNoted', records: known, ...virtualTime });
+  const records = known.slice(0, noted);
+  return {
+    operations: noted,
+    prepare: () => {
+      state.usage.open = [];
+    },
+    run: () =>
+      records.forEach((record) =>
+        reduce(state, { type: 'usageNoted', records: [record], ...virtualTime }),
+      ),
+  };
+};
+
+const createBatch = (count: number): Subject => {
+  const state = createDaemonState('recorder', { workers: 71 });
+  openLinks(state, 60);
+  const records = Array.from({ length: count }, (_, index) => createUsageRecord(index));
+  const batchId = 'vm-000/scheduler/a1b2c3d4/1';
+  const from = 'vm-001/recorder' as const;
+  return {
+    operations: count,
+    prepare: () => {
+      state.usage.lanes.usage.nextAppendAt = 0;
+    },
+    run: () => {
+      const scheduler = 'vm-000/scheduler' as const;
+      reduce(state, { type: 'usageRecords', batchId, records, from: scheduler, ...virtualTime });
+      reduce(state, { type: 'usageReplicaAck', batchId, from, ...virtualTime });
+      reduce(state, { type: 'tick', ...virtualTime });
+      const { appendId } = state.usage.lanes.usage.inFlight!;
+      const answer = { appendId, stream: 'usage', firstOffset: 1 } as const;
+      reduce(state, { type: 'logAppended', ...answer, ...virtualTime });
+    },
+  };
+};
+
+/** Costs of the usage record. */
+export const usageSeries: Readonly<Record<string, Series>> = {
+  'usageNoted at a scheduler': {
+    axis: 'tasks recorded',
+    operation: 'record',
+    sizes: seriesSizes.tasks,
+    create: createNoted,
+  },
+  'usageRecords to logAppended at a recorder': {
+    axis: 'records in the batch',
+    operation: 'record',
+    sizes: [10, 50, 100, 250, 500],
+    create: createBatch,
+  },
+};
