Read workers' late usage reports and reconcile the record

Cause: corrections were computed but nothing read the workers' reports. Ruled out: reading from the start each time, which grows with a worker's life; a cursor that passes tasks whose end is not recorded yet, which would never be compared. Change: held workers are asked every 10 s behind a cursor that stops at the first task still open in the record. Conclusion: a difference between record and worker becomes a correction, for tasks that this scheduler recorded itself.

--- a/src/adapters/worker/createWorkerRunners.ts
+++ b/src/adapters/worker/createWorkerRunners.ts
@@ -1,18 +1,33 @@
 import { Agent } from 'undici';
+import type { z } from 'zod';
 import type { Effect } from '../../core/Effect.js';
 import type { WorkerCall } from '../../core/ownership/WorkerCall.js';
 import type { WorkerReport } from '../../core/ownership/WorkerReport.js';
 import type { Timing } from '../../core/Timing.js';
+import type { WorkerUsageLine } from '../../core/usage/WorkerUsageLine.js';
 import type { UntimedEvent } from '../../core/UntimedEvent.js';
 import type { EffectRunners } from '../EffectRunners.js';
 import { buildWorkerHttpCall } from './buildWorkerHttpCall.js';
 import { callWorkerHttp } from './callWorkerHttp.js';
 import { taskAnswerSchema } from './taskAnswerSchema.js';
+import { usageAnswerSchema } from './usageAnswerSchema.js';
 import { workerReportSchema } from './workerReportSchema.js';
 
 type CallEffect<C> = Omit<Extract<Effect, { type: 'callWorker' }>, 'call'> & { call: C };
 type LeaseCall = Extract<WorkerCall, { kind: 'lease' }>;
-type TaskCall = Exclude<WorkerCall, { kind: 'lease' }>;
+type TaskCall = Exclude<WorkerCall, LeaseCall>;
+
+const toUsageLine = (
+  line: z.output<typeof usageAnswerSchema>['lines'][number],
+): WorkerUsageLine => ({
+  seq: line.seq,
+  taskId: line.taskId,
+  jobId: line.jobId,
+  workspace: line.workspace,
+  accelerators: line.accelerators,
+  ranMs: line.endedWall - line.startedWall,
+  ended: true,
+});
 
 // Control calls have connections of their own, so that requests cannot delay a renewal.
 const createAgent = (): Agent => new Agent({ connections: 4, pipelining: 1 });
@@ -21,7 +36,7 @@
 export const createWorkerRunners = (
   { workerCallTimeoutMs, checkpointMs }: Pick<Timing, 'workerCallTimeoutMs' | 'checkpointMs'>,
   push: (event: UntimedEvent) => void,
-): Required<Pick<EffectRunners, 'callWorker'>> => {
+): Required<Pick<EffectRunners, 'callWorker' | 'readWorkerUsage'>> => {
   const agent = createAgent();
   const callLease = ({ workerId, url, call }: CallEffect<LeaseCall>): void => {
     const { purpose, sentAt } = call;
@@ -66,5 +81,14 @@
       if (call.kind === 'lease') callLease({ ...target, call });
       else callTask({ ...target, call });
     },
+    readWorkerUsage: ({ workerId, url, after }) => {
+      const call = { method: 'GET', path: `/v1/usage?after=${after}` } as const;
+      callWorkerHttp(agent, url, call, usageAnswerSchema, workerCallTimeoutMs).match(
+        ({ incarnation, lines }) =>
+          push({ type: 'workerUsageRead', workerId, incarnation, lines: lines.map(toUsageLine) }),
+        // The next read repeats what this one missed.
+        () => undefined,
+      );
+    },
   };
 };
--- a/src/core/Effect.ts
+++ b/src/core/Effect.ts
@@ -16,6 +16,7 @@
   | { type: 'emit'; event: UntimedEvent }
   | { type: 'send'; to: NodeId; message: Message }
   | { type: 'callWorker'; workerId: string; url: string; call: WorkerCall }
+  | { type: 'readWorkerUsage'; workerId: string; url: string; after: number }
   | { type: 'dispatchAttempt'; requestId: string; attemptId: string; url: string }
   | { type: 'relayAnswer'; requestId: string; attemptId: string; closeConnection: boolean }
   | { type: 'abortAttempt'; requestId: string; attemptId: string }
--- /dev/null
+++ b/src/core/usage/UsageCursor.ts
@@ -0,0 +1,8 @@
+/** How far a worker's usage report has been compared with the record. */
+export interface UsageCursor {
+  /** Process of the worker; its sequence numbers start again with another one. */
+  incarnation: string | null;
+  /** Sequence number of the newest line that needs no further comparison. */
+  after: number;
+  nextReadAt: number;
+}
--- a/src/core/usage/UsageEvent.ts
+++ b/src/core/usage/UsageEvent.ts
@@ -6,4 +6,4 @@
   /** Derived: records to hand to the recorder. */
   | { type: 'usageNoted'; records: StoredRecord[] }
   /** A worker's late usage report was read. */
-  | { type: 'workerUsageRead'; workerId: string; lines: WorkerUsageLine[] };
+  | { type: 'workerUsageRead'; workerId: string; incarnation: string; lines: WorkerUsageLine[] };
--- a/src/core/usage/UsageState.ts
+++ b/src/core/usage/UsageState.ts
@@ -3,6 +3,7 @@
 import type { OutboxBatch } from './OutboxBatch.js';
 import type { RecordedRun } from './RecordedRun.js';
 import type { ReplicaBatch } from './ReplicaBatch.js';
+import type { UsageCursor } from './UsageCursor.js';
 import type { StoredRecord } from './StoredRecord.js';
 import type { UsageReport } from './UsageReport.js';
 import type { UsageStream } from './UsageStream.js';
@@ -18,6 +19,8 @@
   nextGaugeAt: number;
   /** Tasks recorded by this process and not yet compared with the worker's report. */
   runs: Map<string, RecordedRun>;
+  /** Progress of the comparison with each worker's usage report. */
+  cursors: Map<string, UsageCursor>;
   /** Batches that the log has not acknowledged, by batch id. */
   held: Map<string, HeldBatch>;
   /** Ids of held batches without an acknowledged copy on another VM. */
--- a/src/core/usage/WorkerUsageLine.ts
+++ b/src/core/usage/WorkerUsageLine.ts
@@ -1,5 +1,7 @@
 /** One line of a worker's late usage report. */
 export interface WorkerUsageLine {
+  /** Position in the report of the worker's process. */
+  seq: number;
   taskId: string;
   jobId: string;
   workspace: string;
--- a/src/core/usage/createUsageState.ts
+++ b/src/core/usage/createUsageState.ts
@@ -16,6 +16,7 @@
   nextBatchAt: 0,
   nextGaugeAt: 0,
   runs: new Map(),
+  cursors: new Map(),
   held: new Map(),
   unreplicated: new Set(),
   lanes: { usage: createLane(), jobs: createLane() },
--- a/src/core/usage/handleWorkerUsageRead.ts
+++ b/src/core/usage/handleWorkerUsageRead.ts
@@ -1,3 +1,4 @@
+import { advanceCursor } from './advanceCursor.js';
 import { computeKnownIntervals } from './computeKnownIntervals.js';
 import type { Effect } from '../Effect.js';
 import type { EventOf } from '../EventOf.js';
@@ -15,5 +16,6 @@
     const run = runs.get(taskId);
     if (run && ended && computeKnownIntervals(run) !== null) runs.delete(taskId);
   });
+  advanceCursor(state, event);
   return records.length === 0 ? [] : [{ type: 'emit', event: { type: 'usageNoted', records } }];
 };
--- /dev/null
+++ b/src/core/usage/readWorkerUsage.ts
@@ -0,0 +1,20 @@
+import type { Effect } from '../Effect.js';
+import { isHeld } from '../ownership/isHeld.js';
+import type { State } from '../State.js';
+
+// The reports lag by seconds and serve the invoice only, so they need not be read often.
+const readEveryMs = 10_000;
+
+/** Asks held workers for their usage when due. O(workers of the zone). */
+export const readWorkerUsage = (state: State, at: number): Effect[] => {
+  if (state.self.role !== 'scheduler') return [];
+  const workers = state.settings.inForce?.tree.zones[state.self.zone]?.workers ?? {};
+  return Object.entries(workers).flatMap(([workerId, { url }]): Effect[] => {
+    const { cursors } = state.usage;
+    const cursor = cursors.get(workerId) ?? { incarnation: null, after: 0, nextReadAt: at };
+    cursors.set(workerId, cursor);
+    if (at < cursor.nextReadAt || !isHeld(state, workerId, at)) return [];
+    cursor.nextReadAt = at + readEveryMs;
+    return [{ type: 'readWorkerUsage', workerId, url, after: cursor.after }];
+  });
+};
--- a/src/core/usage/tickUsage.ts
+++ b/src/core/usage/tickUsage.ts
@@ -4,6 +4,7 @@
 import { adoptReplicas } from './adoptReplicas.js';
 import { appendLane } from './appendLane.js';
 import { exitRecorder } from './exitRecorder.js';
+import { readWorkerUsage } from './readWorkerUsage.js';
 import { sendOutbox } from './sendOutbox.js';
 import { measureUsage } from './measureUsage.js';
 import { retryOutbox } from './retryOutbox.js';
@@ -19,6 +20,7 @@
   ...appendLane(state, 'usage', at),
   ...appendLane(state, 'jobs', at),
   ...tickReports(state, at),
+  ...readWorkerUsage(state, at),
   ...measureUsage(state, at),
   ...exitRecorder(state, at),
 ];
--- a/test/core/usage/reconcileUsage.test.ts
+++ b/test/core/usage/reconcileUsage.test.ts
@@ -1,12 +1,14 @@
 import { expect, test } from '@jest/globals';
 import type { UsageRecord } from '../../../src/core/usage/UsageRecord.js';
 import type { WorkerUsageLine } from '../../../src/core/usage/WorkerUsageLine.js';
+import { findEffects } from '../../fixtures/findEffects.js';
+import { makeHolder } from '../../fixtures/makeHolder.js';
 import { makeUsage } from '../../fixtures/makeUsage.js';
 import { makeRecorder } from '../../fixtures/makeRecorder.js';
 
 const makeStart = (taskId: string): UsageRecord => makeUsage('taskStarted', taskId, { wall: 1000 });
 const makeLine = (taskId: string, ranMs: number, ended = true): WorkerUsageLine => ({
-  ...{ workspace: 'x', jobId: 'j1', accelerators: 2 },
+  ...{ seq: 1, workspace: 'x', jobId: 'j1', accelerators: 2 },
   ...{ taskId, ranMs, ended },
 });
 
@@ -28,7 +30,7 @@
     makeLine('open', 50),
     makeLine('foreign', 50),
   ];
-  const event = { type: 'workerUsageRead', workerId: 'w1', lines } as const;
+  const event = { type: 'workerUsageRead', workerId: 'w1', incarnation: 'a', lines } as const;
   push(event, 20_000);
   push(event, 30_000);
   expect(state.usage.open.slice(records.length)).toMatchObject([
@@ -37,3 +39,30 @@
   ]);
   expect([...state.usage.runs.keys()]).toEqual(['running', 'open']);
 });
+
+// Guards against a report that is read before the record and so never compared with it.
+test('usage of an open task is read again', () => {
+  const daemon = makeHolder(['w1']);
+  const lines = [makeLine('early', 5000), { ...makeLine('late', 8000), seq: 2 }];
+  const event = { type: 'workerUsageRead', workerId: 'w1', incarnation: 'a', lines } as const;
+  const ends = (id: string) => makeUsage('taskEnded', id, { wall: 6000 });
+  daemon.push({ type: 'usageNoted', records: [makeStart('early'), ends('early')] });
+  daemon.push({ type: 'usageNoted', records: [makeStart('late')] });
+  daemon.push(event);
+  daemon.push(event);
+  expect(daemon.state.usage.cursors.get('w1')?.after).toBe(1);
+  daemon.push({ type: 'usageNoted', records: [ends('late')] });
+  daemon.push(event);
+  expect(daemon.state.usage.cursors.get('w1')?.after).toBe(2);
+  const records = daemon.state.usage.open.filter(({ kind }) => kind === 'correction');
+  expect(records).toMatchObject([{ id: 'late/correction', deltaMs: 3000 }]);
+});
+
+test('usage is read from held workers only', () => {
+  const daemon = makeHolder(['w1']);
+  daemon.state.usage.cursors.clear();
+  const reads = () => findEffects(daemon.push({ type: 'tick' }), 'readWorkerUsage');
+  expect(reads()).toMatchObject([{ workerId: 'w1', after: 0 }]);
+  daemon.advance(10_000);
+  expect(reads()).toEqual([]);
+});
