--- a/src/adapters/metrics/createMetrics.ts
+++ b/src/adapters/metrics/createMetrics.ts
@@ -16,7 +16,7 @@
   const handleError = (error: Error): void => {
     if (failed) return;
     failed = true;
-    logger.write('warn', 'metrics-unavailable', { error: error.message });
+    logger.write('warn', 'metrics_unavailable', { error: error.message });
   };
   const client = new StatsD({
     host: statsd.host,
--- a/src/core/settings/handleSettingsRead.ts
+++ b/src/core/settings/handleSettingsRead.ts
@@ -15,7 +15,7 @@
 const logGap = (fromOffset: number, oldestOffset: number): Effect => ({
   type: 'log',
   level: 'warn',
-  code: 'settings-records-expired',
+  code: 'settings_records_expired',
   fields: { fromOffset, oldestOffset },
 });
 
--- a/src/core/usage/adoptReplicas.ts
+++ b/src/core/usage/adoptReplicas.ts
@@ -13,7 +13,7 @@
     if (!copy || held.has(batchId)) return [];
     const fields = { batchId, origin: copy.origin, records: copy.records.length };
     return [
-      { type: 'log', level: 'warn', code: 'usage-copy-adopted', fields },
+      { type: 'log', level: 'warn', code: 'usage_copy_adopted', fields },
       ...takeBatch(state, null, copy, at),
     ];
   });
--- a/src/core/usage/handleReportRead.ts
+++ b/src/core/usage/handleReportRead.ts
@@ -20,7 +20,7 @@
         report.records.push(parsed.data);
         return [];
       }
-      return [{ type: 'log', level: 'error', code: 'usage-record-unreadable', fields: { offset } }];
+      return [{ type: 'log', level: 'error', code: 'usage_record_unreadable', fields: { offset } }];
     });
 
 /** Adds a page to a report, and answers with the invoice at the end of the stream. */
