Count unknown use, drop a refusal reason that nothing gives

Cause: a search for names that are declared and never used found the counter 'record_unknown' and the refusal 'no-worker'. Change: each record of unknown use is counted; the reason is gone.

--- a/src/core/RefusalReason.ts
+++ b/src/core/RefusalReason.ts
@@ -9,7 +9,6 @@
   | 'no-scheduler'
   | 'no-lead'
   | 'not-holder'
-  | 'no-worker'
   | 'queue-full'
   | 'deadline-exceeded'
   | 'caller-gone'
--- a/src/core/errorCatalogue.ts
+++ b/src/core/errorCatalogue.ts
@@ -66,13 +66,6 @@
     hint: 'Retry; the current holder is found within a few seconds.',
     outcome: 'not-run',
   },
-  'no-worker': {
-    status: 503,
-    title: 'No worker available',
-    message: 'The zone has no worker that can take new work.',
-    hint: 'Retry later. Check for workers that are drained, suspected or leaving with "siskin status".',
-    outcome: 'not-run',
-  },
   'queue-full': {
     status: 429,
     title: 'Queue full',
--- a/src/core/usage/handleUsageNoted.ts
+++ b/src/core/usage/handleUsageNoted.ts
@@ -7,5 +7,7 @@
 export const handleUsageNoted = (state: State, event: EventOf<'usageNoted'>): Effect[] => {
   event.records.forEach((record) => state.usage.open.push(record));
   noteRuns(state.usage.runs, event.records);
-  return [];
+  return event.records
+    .filter(({ kind }) => kind === 'taskUnknown')
+    .map(() => ({ type: 'count', name: 'record_unknown' }));
 };
