--- a/test/adapters/metrics/createMetrics.test.ts
+++ b/test/adapters/metrics/createMetrics.test.ts
@@ -14,7 +14,7 @@
   const { port } = receiver.address();
   const metrics = createMetrics({ host: '127.0.0.1', port }, self, logger);
   const received = once(receiver, 'message');
-  metrics.runners.countRefusal({ type: 'countRefusal', reason: 'no-worker' });
+  metrics.runners.countRefusal({ type: 'countRefusal', reason: 'queue-full' });
   metrics.runners.countRetry({ type: 'countRetry', reason: 'grant-expired' });
   metrics.runners.count({ type: 'count', name: 'claim_lost' });
   metrics.runners.gauge({ type: 'gauge', name: 'held_workers', value: 7 });
@@ -28,7 +28,7 @@
     'siskinhollow.held_workers:7|g',
   ]);
   expect(lines[0]?.split('|#')[1]?.split(',').sort()).toEqual([
-    ...['reason:no-worker', 'role:gateway', 'vm:vm-1', 'zone:zone-a'],
+    ...['reason:queue-full', 'role:gateway', 'vm:vm-1', 'zone:zone-a'],
   ]);
   receiver.close();
 });
