Measure the shares of workspaces under equal demand

Demand in proportion to the weights cannot show whether the weights decide, so one experiment lets every workspace ask for half of the zone. Fairness is the least by the greatest work served per weight until the last arrival; the served share of the own demand is a measure of its own.

--- a/tools/bench/experiments/createRequestExperiment.ts
+++ b/tools/bench/experiments/createRequestExperiment.ts
@@ -13,6 +13,7 @@
     'batch-mean': 'lower',
     'batch-p99': 'lower',
     'in-deadline': 'higher',
+    fairness: 'higher',
   },
   run: (policy, seed, scale) => {
     const scenario = buildScenario(seed, scale);
--- a/tools/bench/experiments/requestExperiments.ts
+++ b/tools/bench/experiments/requestExperiments.ts
@@ -59,7 +59,10 @@
   // Batches of 100 long requests arrive together beside the short ones.
   'mixed-classes': (seed, scale) =>
     buildScenario({ ...buildSteady(seed, 30_000 * scale, 0.9), batchSize: 100 }),
-  // Overload for a third of the run; then half of the waiting callers leave at once.
+  // Every workspace asks for half of the zone, so that the shares must follow the weights.
+  'equal-demand': (seed, scale) =>
+    buildScenario({ ...buildSteady(seed, 20_000 * scale, 2), equalDemand: true }),
+  // Overload for half of the run; then half of the waiting callers leave at once.
   'cancellation-wave': (seed, scale) => {
     const durationMs = 20_000 * scale;
     const load = (at: number): number => (at < durationMs / 2 ? 1.4 : 0.8);
--- a/tools/bench/requests/LoadShape.ts
+++ b/tools/bench/requests/LoadShape.ts
@@ -15,6 +15,8 @@
   meanMs: Record<RequestClass, number>;
   /** Number of batch requests that arrive together. */
   batchSize?: number;
+  /** Whether all workspaces ask for the same, instead of in proportion to their weights. */
+  equalDemand?: boolean;
   /** Share of the requests that run 50 times longer. */
   stragglerShare?: number;
 }
--- a/tools/bench/requests/buildRequests.ts
+++ b/tools/bench/requests/buildRequests.ts
@@ -11,7 +11,7 @@
 export const buildRequests = (shape: LoadShape): RequestSpec[] => {
   const random = createRandom(shape.seed);
   const names = Object.entries(workspaceWeights).flatMap(([name, weight]) =>
-    new Array<string>(weight).fill(name),
+    new Array<string>(shape.equalDemand ? 1 : weight).fill(name),
   );
   const { batchShare, meanMs, batchSize = 1, stragglerShare = 0 } = shape;
   const meanSizeMs = batchShare * meanMs.batch + (1 - batchShare) * meanMs.counter;
--- a/tools/bench/requests/measureRequests.ts
+++ b/tools/bench/requests/measureRequests.ts
@@ -27,16 +27,25 @@
 const computeWork = (results: RequestResult[]): number =>
   results.reduce((sum, { request }) => sum + request.sizeMs, 0);
 
-// Demand is proportional to the weights up to chance, so the share of the demand that was served
-// stands for the weighted share.
-const measureFairness = (results: RequestResult[], workspaces: string[]): number => {
-  const shares = workspaces.map((workspace) => {
-    const own = results.filter(({ request }) => request.workspace === workspace);
-    return computeWork(own.filter(({ end }) => end === 'answered')) / (computeWork(own) || 1);
-  });
+const compareShares = (
+  results: RequestResult[],
+  weights: Record<string, number>,
+  getShare: (own: RequestResult[], weight: number) => number,
+): number => {
+  const shares = Object.entries(weights).map(([workspace, weight]) =>
+    getShare(
+      results.filter(({ request }) => request.workspace === workspace),
+      weight,
+    ),
+  );
   return Math.min(...shares) / Math.max(...shares);
 };
 
+const listAnswered = (results: RequestResult[], until = Infinity): RequestResult[] =>
+  results.filter(
+    ({ request, end, latencyMs }) => end === 'answered' && request.at + latencyMs <= until,
+  );
+
 /** Computes the measures of one run; latencies in milliseconds, the others as shares. */
 export const measureRequests = (scenario: RequestScenario, results: RequestResult[]): Measures => {
   const kept = results.filter(({ end }) => end !== 'cancelled');
@@ -50,7 +59,18 @@
     ...measureLatency(results, 'batch'),
     refused: countEnds(['refused', 'failed']),
     'in-deadline': countEnds(['answered']),
-    fairness: measureFairness(kept, Object.keys(scenario.weights)),
+    // Least by greatest share of the own demand that was served.
+    'served-share': compareShares(
+      kept,
+      scenario.weights,
+      (own) => computeWork(listAnswered(own)) / (computeWork(own) || 1),
+    ),
+    // Least by greatest work served per weight until the last arrival.
+    fairness: compareShares(
+      kept,
+      scenario.weights,
+      (own, weight) => computeWork(listAnswered(own, spanMs)) / weight,
+    ),
     utilisation: usedMs / (slots * spanMs),
   };
 };
--- a/tools/bench/requests/workspaceWeights.ts
+++ b/tools/bench/requests/workspaceWeights.ts
@@ -1,4 +1,4 @@
-/** Workspaces of the generated load; their demand is proportional to their weights. */
+/** Workspaces of the generated load; by default their demand is proportional to their weights. */
 export const workspaceWeights: Record<string, number> = {
   desk: 4,
   labels: 2,
