Keep the last free slots for short requests

Cause: long requests took every free slot at the peak, and a short request then waited until one of them ended, although short ones need few slots.

Change: while at most 1/8 of the zone's slots are free, only classes with a mean of up to 8 times that of the shortest class of the last 10 s get one.

--- a/src/core/routing/RoutingState.ts
+++ b/src/core/routing/RoutingState.ts
@@ -12,6 +12,8 @@
   served: Map<string, number>;
   /** Mean service time of each class over all workers, in milliseconds. */
   classMeanMs: Map<string, number>;
+  /** Monotonic time at which a request of each class last had its turn. */
+  classTakenAt: Map<string, number>;
   /** Workers on which each class failed since it last succeeded. */
   failedWorkersByClass: Map<string, Set<string>>;
   keys: Map<string, KeyRecord>;
--- a/src/core/routing/createRoutingState.ts
+++ b/src/core/routing/createRoutingState.ts
@@ -7,6 +7,7 @@
   queues: new Map(),
   served: new Map(),
   classMeanMs: new Map(),
+  classTakenAt: new Map(),
   failedWorkersByClass: new Map(),
   keys: new Map(),
   keyWaits: [],
--- a/test/core/routing/requestOrder.test.ts
+++ b/test/core/routing/requestOrder.test.ts
@@ -1,7 +1,9 @@
 import { expect, test } from '@jest/globals';
+import { answerLeases } from '../../fixtures/answerLeases.js';
 import { findMessages } from '../../fixtures/findEffects.js';
 import type { TestDaemon } from '../../fixtures/makeDaemon.js';
 import { makeHolder } from '../../fixtures/makeHolder.js';
+import { makeReport } from '../../fixtures/makeReport.js';
 import { routingEvents } from '../../fixtures/routingEvents.js';
 
 const { ask, release, fillSlots, teach } = routingEvents;
@@ -31,3 +33,27 @@
   daemon.push(ask('s', { requestClass: 'short' }));
   expect(grantNext(daemon)).toEqual([first]);
 });
+
+// Guards against long requests that take every slot, so that short ones wait for one to end.
+test('long requests leave slots to short ones', () => {
+  const daemon = makeHolder(['w1']);
+  teach(daemon, 'short', 10);
+  teach(daemon, 'long', 1000);
+  const granted = [0, 1, 2, 3, 4, 5, 6, 7].flatMap((index) =>
+    findMessages(daemon.push(ask(`l${index}`, { requestClass: 'long' })), 'grant'),
+  );
+  expect(granted).toHaveLength(7);
+  const short = daemon.push(ask('s', { requestClass: 'short' }));
+  expect(findMessages(short, 'grant')).toMatchObject([{ requestId: 's' }]);
+});
+
+// Guards against slots that stay idle for short requests that no longer come.
+test('slots are not kept without short requests', () => {
+  const daemon = createBusy();
+  daemon.push(ask('l', { requestClass: 'long', timeoutMs: 60_000 }));
+  for (let second = 0; second < 10; second += 1) {
+    daemon.advance(1000);
+    answerLeases(daemon, daemon.push({ type: 'tick' }), makeReport(null, 10_000));
+  }
+  expect(grantNext(daemon)).toEqual(['l']);
+});
