Keep the last free slots from classes without an observation

Cause: a class without an observation counted with a mean of 0, so the first batch of long requests took the slots kept for short ones, and short requests waited until the first long one ended.

Ruled out: the order within a workspace.

Change: such a class counts as long for the kept slots.

--- a/src/core/routing/takeNextWaiting.ts
+++ b/src/core/routing/takeNextWaiting.ts
@@ -25,8 +25,10 @@
 
 const listServable = (state: State, at: number): [string, Queue][] => {
   const limitMs = computeClassLimitMs(state, at);
+  // A class without an observation may be long, so it gets no kept slot.
   const isServable = (request: WaitingRequest): boolean =>
-    (state.routing.classMeanMs.get(request.requestClass) ?? 0) <= limitMs || isAged(request, at);
+    (state.routing.classMeanMs.get(request.requestClass) ?? Infinity) <= limitMs ||
+    isAged(request, at);
   return [...state.routing.queues]
     .map(([name, queue]): [string, Queue] => [name, queue.filter(isServable)])
     .filter(([, queue]) => queue.length > 0);
--- a/test/core/routing/requestOrder.test.ts
+++ b/test/core/routing/requestOrder.test.ts
@@ -12,7 +12,7 @@
   const daemon = makeHolder(['w1']);
   teach(daemon, 'short', 10);
   teach(daemon, 'long', 1000);
-  fillSlots(daemon, 8);
+  fillSlots(daemon, 8, { requestClass: 'short' });
   return daemon;
 };
 
@@ -34,13 +34,14 @@
   expect(grantNext(daemon)).toEqual([first]);
 });
 
-// Guards against long requests that take every slot, so that short ones wait for one to end.
-test('long requests leave slots to short ones', () => {
+// Guards against requests of a long or an unknown class that take every slot, so that short ones
+// wait for one to end.
+test.each(['long', 'unknown'])('%s requests leave slots to short ones', (requestClass) => {
   const daemon = makeHolder(['w1']);
   teach(daemon, 'short', 10);
   teach(daemon, 'long', 1000);
   const granted = [0, 1, 2, 3, 4, 5, 6, 7].flatMap((index) =>
-    findMessages(daemon.push(ask(`l${index}`, { requestClass: 'long' })), 'grant'),
+    findMessages(daemon.push(ask(`l${index}`, { requestClass })), 'grant'),
   );
   expect(granted).toHaveLength(7);
   const short = daemon.push(ask('s', { requestClass: 'short' }));
