Charge a turn only with a grant

Cause: a request was taken from its queue before a worker was chosen. Without a free slot it went back to the head of the queue, and its workspace stayed charged for the turn. Each arrival at a full zone thus charged a workspace that got nothing and put a later request before the oldest, whose age decides.

Change: the next request is found first, and taken and charged when a worker is chosen.

--- a/src/core/routing/assignWaiting.ts
+++ b/src/core/routing/assignWaiting.ts
@@ -1,9 +1,9 @@
 import type { Effect } from '../Effect.js';
 import type { State } from '../State.js';
 import { chooseWorker } from './chooseWorker.js';
-import { enqueueWaiting } from './enqueueWaiting.js';
+import { findNextWaiting } from './findNextWaiting.js';
 import { getWorkerLoad } from './getWorkerLoad.js';
-import { takeNextWaiting } from './takeNextWaiting.js';
+import { takeWaiting } from './takeWaiting.js';
 import type { WaitingRequest } from './WaitingRequest.js';
 
 const grantSlot = (
@@ -48,15 +48,11 @@
 export const assignWaiting = (state: State, at: number): Effect[] => {
   if (state.membership.drainingSince !== null) return [];
   const effects: Effect[] = [];
-  for (let next = takeNextWaiting(state, at); next; next = takeNextWaiting(state, at)) {
+  for (let next = findNextWaiting(state, at); next; next = findNextWaiting(state, at)) {
     const workerId = chooseWorker(state, next, at);
-    if (workerId === null) {
-      // Back to the head of its queue; its turn was not used.
-      const queue = state.routing.queues.get(next.workspace);
-      if (queue) queue.unshift(next);
-      else enqueueWaiting(state, next);
-      break;
-    }
+    // Without a worker, the request keeps its place and its workspace keeps its turn.
+    if (workerId === null) break;
+    takeWaiting(state, next, at);
     effects.push(...grantSlot(state, next, workerId, at));
   }
   return effects;
--- a/src/core/routing/takeNextWaiting.ts
+++ b/src/core/routing/findNextWaiting.ts
@@ -6,11 +6,6 @@
 // The last quarter of the deadline leaves an old request time to run.
 const agedShareOfDeadline = 0.75;
 
-const getWeight = (state: State, workspace: string): number => {
-  const team = state.settings.teamByWorkspace.get(workspace) ?? '';
-  return state.settings.inForce?.tree.teams[team]?.workspaces[workspace]?.weight ?? 1;
-};
-
 const isAged = (request: WaitingRequest, at: number): boolean =>
   at - request.enqueuedAt > (request.deadlineAt - request.enqueuedAt) * agedShareOfDeadline;
 
@@ -35,23 +30,15 @@
 };
 
 /**
- * Takes the request that is served next: the workspace with the least weighted use has its turn,
+ * Finds the request that is served next: the workspace with the least weighted use has its turn,
  * and within it the class observed to be shortest, unless the oldest has waited for three quarters
  * of its deadline. Long classes are left out while only the slots kept for short ones are free.
  * O(workers + classes + requests waiting).
  */
-export const takeNextWaiting = (state: State, at: number): WaitingRequest | null => {
-  const { queues, served, classMeanMs, classTakenAt } = state.routing;
+export const findNextWaiting = (state: State, at: number): WaitingRequest | null => {
+  const { served } = state.routing;
   const [turn] = listServable(state, at).sort(
     (a, b) => (served.get(a[0]) ?? 0) - (served.get(b[0]) ?? 0),
   );
-  if (!turn) return null;
-  const [workspace, servable] = turn;
-  const request = findNext(state, servable, at);
-  const queue = queues.get(workspace)!;
-  queue.splice(queue.indexOf(request), 1);
-  const cost = classMeanMs.get(request.requestClass) ?? 1;
-  served.set(workspace, (served.get(workspace) ?? 0) + cost / getWeight(state, workspace));
-  classTakenAt.set(request.requestClass, at);
-  return request;
+  return turn ? findNext(state, turn[1], at) : null;
 };
--- /dev/null
+++ b/src/core/routing/takeWaiting.ts
@@ -0,0 +1,21 @@
+import type { State } from '../State.js';
+import type { WaitingRequest } from './WaitingRequest.js';
+
+const getWeight = (state: State, workspace: string): number => {
+  const team = state.settings.teamByWorkspace.get(workspace) ?? '';
+  return state.settings.inForce?.tree.teams[team]?.workspaces[workspace]?.weight ?? 1;
+};
+
+/**
+ * Takes a request that got a worker out of its queue and charges its workspace for the turn.
+ * O(requests waiting in the workspace).
+ */
+export const takeWaiting = (state: State, request: WaitingRequest, at: number): void => {
+  const { queues, served, classMeanMs, classTakenAt } = state.routing;
+  const { workspace, requestClass } = request;
+  const queue = queues.get(workspace)!;
+  queue.splice(queue.indexOf(request), 1);
+  const cost = classMeanMs.get(requestClass) ?? 1;
+  served.set(workspace, (served.get(workspace) ?? 0) + cost / getWeight(state, workspace));
+  classTakenAt.set(requestClass, at);
+};
--- a/test/core/routing/requestOrder.test.ts
+++ b/test/core/routing/requestOrder.test.ts
@@ -58,3 +58,21 @@
   }
   expect(grantNext(daemon)).toEqual(['l']);
 });
+
+// Guards against a request that loses its place in the queue to a later one that found no slot.
+test('oldest request keeps its place', () => {
+  const daemon = createBusy();
+  daemon.push(ask('l', { requestClass: 'long', timeoutMs: 2000 }));
+  daemon.advance(100);
+  daemon.push(ask('s', { requestClass: 'short' }));
+  daemon.advance(1500);
+  expect(grantNext(daemon)).toEqual(['l']);
+});
+
+// Guards against a workspace that pays for turns in which no slot was free.
+test('turn without a slot is not charged', () => {
+  const daemon = createBusy();
+  const before = daemon.state.routing.served.get('toys');
+  daemon.push(ask('s', { requestClass: 'short' }));
+  expect(daemon.state.routing.served.get('toys')).toBe(before);
+});
