Record the requests that a lost gateway left uncounted

Cause: the demo's invoice counted 285 of 360 answered requests; the rest were counts of a killed gateway, and no record said so. Ruled out: handing counts on more often, which multiplies records by the number of gateways and workspaces; counting at the scheduler, which does not know the end of attempts whose gateway was lost either. Change: a scheduler that loses a gateway without a goodbye records an interval of unknown requests for each workspace it had ended attempts for, long enough for the gateway's whole delay; the invoice lists it. Conclusion: what is lost stands in the record as unknown.

--- a/src/adapters/mesh/messageSchemas.ts
+++ b/src/adapters/mesh/messageSchemas.ts
@@ -57,6 +57,7 @@
     draining: z.boolean(),
     settingsVersion: z.number().int(),
   }),
+  goodbye: z.looseObject({ type: z.literal('goodbye') }),
   grantRequest: z.looseObject({
     type: z.literal('grantRequest'),
     requestId: textSchema,
--- a/src/cli/usage/describeGaps.ts
+++ b/src/cli/usage/describeGaps.ts
@@ -25,6 +25,15 @@
       formatCell(gap.settledBy),
     ]),
   ),
+  ...formatSection(
+    'Short requests not counted',
+    ['gateway', 'from', 'to'],
+    invoice.unknownRequests.map((gap) => [
+      formatCell(gap.gateway),
+      formatWall(gap.fromWall),
+      formatWall(gap.toWall),
+    ]),
+  ),
   ...formatSection(
     'Tasks without a recorded end, not in any sum',
     ['job', 'task', 'accelerators', 'started'],
--- a/src/cli/usage/invoiceSchema.ts
+++ b/src/cli/usage/invoiceSchema.ts
@@ -33,6 +33,9 @@
       ...{ ...task, fromWall: z.number(), toWall: z.number(), settledBy: z.string().nullish() },
     }),
   ),
+  unknownRequests: z.array(
+    z.looseObject({ gateway: z.string(), fromWall: z.number(), toWall: z.number() }),
+  ),
   openTasks: z.array(z.looseObject({ ...task, startedWall: z.number() })),
   tasksWithoutStart: z.array(z.looseObject({ ...task, endedWall: z.number() })),
   /** Oldest offset that the log still holds; records before it are missing. */
--- a/src/core/Message.ts
+++ b/src/core/Message.ts
@@ -1,5 +1,6 @@
 import type { CommandMessage } from './commands/CommandMessage.js';
 import type { CommandResultMessage } from './commands/CommandResultMessage.js';
+import type { GoodbyeMessage } from './membership/GoodbyeMessage.js';
 import type { HeartbeatMessage } from './membership/HeartbeatMessage.js';
 import type { JobsQueryMessage } from './recovery/JobsQueryMessage.js';
 import type { JobsRecoveredMessage } from './recovery/JobsRecoveredMessage.js';
@@ -21,6 +22,7 @@
 /** Everything that one daemon sends to another. */
 export type Message =
   | HeartbeatMessage
+  | GoodbyeMessage
   | GrantRequestMessage
   | GrantMessage
   | RefuseGrantMessage
--- a/src/core/requests/drainGateway.ts
+++ b/src/core/requests/drainGateway.ts
@@ -1,4 +1,5 @@
 import type { Effect } from '../Effect.js';
+import { getNodeRole } from '../getNodeRole.js';
 import type { State } from '../State.js';
 import { hasUnstoredRecords } from '../usage/hasUnstoredRecords.js';
 import { buildAttemptId } from './buildAttemptId.js';
@@ -18,13 +19,21 @@
   ];
 };
 
+const sendGoodbyes = (state: State): Effect[] =>
+  [...state.membership.peers.values()]
+    .filter((peer) => peer.linked && getNodeRole(peer.node) === 'scheduler')
+    .map((peer) => ({ type: 'send', to: peer.node, message: { type: 'goodbye' } }));
+
 const exitIfDone = (state: State, late: boolean): Effect[] => {
   const { membership, requests } = state;
   const open = requests.exchanges.size + requests.commands.size;
   const unrecorded = hasUnstoredRecords(state.usage);
   if (!late && (open > 0 || unrecorded)) return [];
   membership.exited = true;
+  // Only counts that the recorder holds are known; others stay unknown to the schedulers.
+  const goodbyes = unrecorded ? [] : sendGoodbyes(state);
   return [
+    ...goodbyes,
     { type: 'log', level: 'info', code: 'shutdown_finished', fields: { open, unrecorded } },
     { type: 'exit' },
   ];
--- a/src/core/routing/RoutingState.ts
+++ b/src/core/routing/RoutingState.ts
@@ -1,3 +1,4 @@
+import type { NodeId } from '../NodeId.js';
 import type { Grant } from './Grant.js';
 import type { KeyRecord } from './KeyRecord.js';
 import type { WaitingRequest } from './WaitingRequest.js';
@@ -16,6 +17,8 @@
   classTakenAt: Map<string, number>;
   /** Workers on which each class failed since it last succeeded. */
   failedWorkersByClass: Map<string, Set<string>>;
+  /** Epoch time at which each gateway last ended an attempt of each workspace. */
+  countedWall: Map<NodeId, Map<string, number>>;
   keys: Map<string, KeyRecord>;
   /** Keyed requests that wait until the zone's other schedulers know their key. */
   keyWaits: { request: WaitingRequest; sequence: number }[];
--- a/src/core/routing/createRoutingState.ts
+++ b/src/core/routing/createRoutingState.ts
@@ -9,6 +9,7 @@
   classMeanMs: new Map(),
   classTakenAt: new Map(),
   failedWorkersByClass: new Map(),
+  countedWall: new Map(),
   keys: new Map(),
   keyWaits: [],
   keyMemoryGapUntil: 0,
--- a/src/core/routing/routingHandlers.ts
+++ b/src/core/routing/routingHandlers.ts
@@ -1,5 +1,6 @@
 import type { HandlerTable } from '../HandlerTable.js';
 import { handleCancelGrant } from './handleCancelGrant.js';
+import { handleGoodbye } from './handleGoodbye.js';
 import { handleGrantRequest } from './handleGrantRequest.js';
 import { handleLeadChanged } from './handleLeadChanged.js';
 import { handleLinkClosed } from './handleLinkClosed.js';
@@ -15,6 +16,7 @@
   tick: handleTick,
   linkOpened: handleLinkOpened,
   linkClosed: handleLinkClosed,
+  goodbye: handleGoodbye,
   grantRequest: handleGrantRequest,
   releaseGrant: handleReleaseGrant,
   cancelGrant: handleCancelGrant,
--- a/src/core/usage/Invoice.ts
+++ b/src/core/usage/Invoice.ts
@@ -9,6 +9,8 @@
   acceleratorMs: number;
   jobs: { jobId: string; acceleratorMs: number; lines: InvoiceLine[] }[];
   requests: { answered: number; failed: number; unknown: number; busyMs: number };
+  /** Intervals in which short requests may have been served that no count names. */
+  unknownRequests: { gateway: string; fromWall: number; toWall: number }[];
   /** Intervals of unknown use; not part of any sum. */
   unknown: {
     id: string;
--- a/src/core/usage/UsageRecord.ts
+++ b/src/core/usage/UsageRecord.ts
@@ -34,6 +34,15 @@
       busyMs: number;
       wall: number;
     }
+  | {
+      /** Counts of short requests that a lost gateway had not handed on. */
+      kind: 'requestsUnknown';
+      id: string;
+      workspace: string;
+      gateway: string;
+      fromWall: number;
+      toWall: number;
+    }
   | {
       /** The worker's late report differs from what was recorded. */
       kind: 'correction';
--- a/src/core/usage/buildInvoice.ts
+++ b/src/core/usage/buildInvoice.ts
@@ -3,6 +3,7 @@
 import { collectTasks } from './collectTasks.js';
 import { countRequests } from './countRequests.js';
 import type { Invoice } from './Invoice.js';
+import { listUnknownRequests } from './listUnknownRequests.js';
 import type { UsageRecord } from './UsageRecord.js';
 
 /**
@@ -32,6 +33,7 @@
     acceleratorMs: jobs.reduce((sum, job) => sum + job.acceleratorMs, 0),
     jobs,
     requests: countRequests(unique, fromWall, toWall),
+    unknownRequests: listUnknownRequests(unique, fromWall, toWall),
     unknown: buildUnknown(tasks, fromWall, toWall),
     openTasks: tasks.flatMap(({ jobId, taskId, accelerators, startedWall, endedWall, unknown }) =>
       startedWall !== null && startedWall < toWall && endedWall === null && unknown.length === 0
--- a/src/core/usage/collectTasks.ts
+++ b/src/core/usage/collectTasks.ts
@@ -1,7 +1,7 @@
 import type { InvoiceTask } from './InvoiceTask.js';
 import type { UsageRecord } from './UsageRecord.js';
 
-type TaskRecord = Exclude<UsageRecord, { kind: 'requests' }>;
+type TaskRecord = Extract<UsageRecord, { taskId: string }>;
 type Collectors = {
   readonly [K in TaskRecord['kind']]: (
     task: InvoiceTask,
@@ -28,7 +28,7 @@
 export const collectTasks = (records: readonly UsageRecord[]): InvoiceTask[] => {
   const tasks = new Map<string, InvoiceTask>();
   records.forEach((record) => {
-    if (record.kind === 'requests') return;
+    if (!('taskId' in record)) return;
     const { taskId, jobId, accelerators } = record;
     const task = tasks.get(taskId) ?? {
       jobId,
--- /dev/null
+++ b/src/core/usage/listUnknownRequests.ts
@@ -0,0 +1,22 @@
+import type { Invoice } from './Invoice.js';
+import type { UsageRecord } from './UsageRecord.js';
+
+/** Lists the intervals without counts of short requests that touch the period, cut to it. */
+export const listUnknownRequests = (
+  records: readonly UsageRecord[],
+  fromWall: number,
+  toWall: number,
+): Invoice['unknownRequests'] =>
+  records
+    .flatMap((record) =>
+      record.kind === 'requestsUnknown'
+        ? [
+            {
+              gateway: record.gateway,
+              fromWall: Math.max(record.fromWall, fromWall),
+              toWall: Math.min(record.toWall, toWall),
+            },
+          ]
+        : [],
+    )
+    .filter((gap) => gap.fromWall < gap.toWall);
--- a/src/core/usage/streamByKind.ts
+++ b/src/core/usage/streamByKind.ts
@@ -7,6 +7,7 @@
   taskEnded: 'usage',
   taskUnknown: 'usage',
   requests: 'usage',
+  requestsUnknown: 'usage',
   correction: 'usage',
   jobSubmitted: 'jobs',
   jobEnded: 'jobs',
--- a/src/core/usage/usageRecordSchema.ts
+++ b/src/core/usage/usageRecordSchema.ts
@@ -34,6 +34,14 @@
     busyMs: count,
     wall: z.number(),
   }),
+  z.object({
+    kind: z.literal('requestsUnknown'),
+    id: z.string(),
+    workspace: z.string(),
+    gateway: z.string(),
+    fromWall: z.number(),
+    toWall: z.number(),
+  }),
   z.object({
     ...taskFields,
     kind: z.literal('correction'),
--- a/test/cli/invoice.test.ts
+++ b/test/cli/invoice.test.ts
@@ -11,6 +11,7 @@
   jobs: [{ jobId: 'j1', acceleratorMs: hourMs, lines: [run, correction] }],
   requests: { answered: 9, failed: 1, unknown: 2, busyMs: hourMs },
   unknown: [{ ...task, id: 'u1', fromWall: hourMs, toWall: hourMs + 8000, settledBy: null }],
+  unknownRequests: [{ gateway: 'vm-1/gateway', fromWall: 0, toWall: 6000 }],
   openTasks: [{ ...task, taskId: 'j1.2.0', startedWall: hourMs }],
   tasksWithoutStart: [],
   repeatedRecords: 0,
--- a/test/core/routing/routingHandlers.test.ts
+++ b/test/core/routing/routingHandlers.test.ts
@@ -140,3 +140,24 @@
     { keys: [{ requestId: 'r1' }], freedKeys: [] },
   ]);
 });
+
+// Guards against served requests that no record names because their gateway was killed.
+test('lost gateway leaves an interval of unknown requests', () => {
+  const daemon = makeHolder(['w1']);
+  const lose = () => {
+    daemon.state.usage.open = [];
+    daemon.push(ask('r1'));
+    daemon.push(release('r1', 'answered'));
+    return daemon.push({ type: 'linkClosed', node: gateway });
+  };
+  lose();
+  expect(daemon.state.usage.open).toMatchObject([
+    { kind: 'requestsUnknown', workspace: 'toys', gateway, fromWall: -6500, toWall: 1000 },
+  ]);
+  daemon.state.usage.open = [];
+  daemon.push(ask('r2'));
+  daemon.push(release('r2', 'answered'));
+  daemon.push({ type: 'goodbye', from: gateway });
+  daemon.push({ type: 'linkClosed', node: gateway });
+  expect(daemon.state.usage.open).toEqual([]);
+});
