Send remembered jobs and keys to a started scheduler

Cause: a scheduler that restarted ranked first and led again with an empty memory. Its peer knew the jobs but was not the lead, so it sent no copy. A task that had ended meanwhile got no taskEnded record.

Ruled out: recovery from the log, which queues such a job as a new attempt and does not know that the task has ended.

Change: a scheduler that does not lead sends what it remembers when a link of its zone opens. The receiver adds only what it does not know, and the copy does not make its memory of keys complete.

Conclusion: a restart of the lead's process no longer loses its jobs.

--- a/src/adapters/mesh/messageSchemas.ts
+++ b/src/adapters/mesh/messageSchemas.ts
@@ -102,6 +102,7 @@
     freedKeys: z.array(textSchema),
     jobs: z.array(jobSchema),
     complete: z.boolean(),
+    supplement: z.literal(true).optional(),
   }),
   replicateAck: z.looseObject({ type: z.literal('replicateAck'), sequence: countSchema }),
   jobsQuery: z.looseObject({
--- a/src/core/replication/handleLinkOpened.ts
+++ b/src/core/replication/handleLinkOpened.ts
@@ -4,11 +4,15 @@
 import { isLead } from '../ownership/isLead.js';
 import type { State } from '../State.js';
 import { sendFullCopy } from './sendFullCopy.js';
+import { sendSupplement } from './sendSupplement.js';
 
 /** Brings a scheduler of the zone up to date when its link opens. */
 export const handleLinkOpened = (state: State, event: EventOf<'linkOpened'>): Effect[] => {
   if (state.self.role !== 'scheduler' || getNodeRole(event.node) !== 'scheduler') return [];
   state.replication.acknowledged.delete(event.node);
-  if (event.zone !== state.self.zone || !isLead(state, event.at)) return [];
-  return sendFullCopy(state, event.node);
+  if (event.zone !== state.self.zone) return [];
+  // A process that has just started may lead next, although only its peers know the jobs.
+  return isLead(state, event.at)
+    ? sendFullCopy(state, event.node)
+    : sendSupplement(state, event.node);
 };
--- a/src/core/replication/handleReplicate.ts
+++ b/src/core/replication/handleReplicate.ts
@@ -4,9 +4,23 @@
 import { isLead } from '../ownership/isLead.js';
 import type { State } from '../State.js';
 
+// Only a lead's copy may change what is known, and only its copies make the memory complete.
+const addUnknown = (state: State, event: EventOf<'replicate'>): Effect[] => {
+  const { routing, jobs, timing } = state;
+  const forgetAt = event.at + timing.keyRetentionMs;
+  event.keys
+    .filter((key) => !routing.keys.has(key.id))
+    .forEach((key) => routing.keys.set(key.id, { ...key, forgetAt }));
+  event.jobs
+    .filter((job) => !jobs.jobs.has(job.id))
+    .forEach((job) => applyReplicatedJob(state, job, event.at));
+  return [];
+};
+
 /** Stores a lead's copy; a scheduler that leads itself takes none. O(changes). */
 export const handleReplicate = (state: State, event: EventOf<'replicate'>): Effect[] => {
   if (isLead(state, event.at)) return [];
+  if (event.supplement) return addUnknown(state, event);
   const { routing, replication, timing } = state;
   event.keys.forEach((key) => {
     // Deleting first keeps the table in order of use.
--- /dev/null
+++ b/src/core/replication/sendSupplement.ts
@@ -0,0 +1,12 @@
+import type { Effect } from '../Effect.js';
+import type { NodeId } from '../NodeId.js';
+import type { State } from '../State.js';
+import { sendFullCopy } from './sendFullCopy.js';
+
+/** Sends what a scheduler that does not lead remembers of earlier copies. O(keys + jobs). */
+export const sendSupplement = (state: State, to: NodeId): Effect[] =>
+  sendFullCopy(state, to).map((effect) =>
+    effect.type === 'send' && effect.message.type === 'replicate'
+      ? { ...effect, message: { ...effect.message, complete: false, supplement: true } }
+      : effect,
+  );
--- a/src/core/routing/ReplicateMessage.ts
+++ b/src/core/routing/ReplicateMessage.ts
@@ -12,4 +12,6 @@
   jobs: Job[];
   /** False while more messages of the same full copy follow. */
   complete: boolean;
+  /** Set when the sender does not lead; the receiver takes only what it does not know. */
+  supplement?: true;
 }
--- /dev/null
+++ b/test/fuzz/world/FakeTask.ts
@@ -0,0 +1,12 @@
+import type { TaskReport } from '../../../src/core/ownership/TaskReport.js';
+import type { TaskRun } from './TaskRun.js';
+
+/** A task on a fake worker. */
+export interface FakeTask extends TaskReport {
+  runMs: number;
+  /** True time at which the lease ends by the worker's own clock. */
+  leaseUntil: number;
+  startedAt: number | null;
+  ended: boolean;
+  run: TaskRun | null;
+}
