Fuzz gangs and usage records

Fake workers run tasks under leases, and jobs are submitted and cancelled.

Ruled out as faults: a renewal that the network delivers late extends a task lease by its time on the way, and two schedulers may note one start at slightly different times under one id, of which the first counts.

--- a/test/fuzz/commands/FuzzCommand.ts
+++ b/test/fuzz/commands/FuzzCommand.ts
@@ -9,6 +9,8 @@
       serviceMs: number;
       timeoutMs: number;
     }
+  | { type: 'submitJob'; gateway: number; tasks: number; runMs: number; preemptible: boolean }
+  | { type: 'cancelJob'; gateway: number; job: number; all: boolean }
   | { type: 'leave'; caller: number }
   | { type: 'advance'; ms: number }
   | { type: 'kill'; node: number; forMs: number }
--- a/test/fuzz/commands/commandArbitraries.ts
+++ b/test/fuzz/commands/commandArbitraries.ts
@@ -23,6 +23,13 @@
     serviceMs: fc.constantFrom(20, 200, 1500, 6000),
     timeoutMs: fc.constantFrom(20_000, 6000, 2500, 800),
   }),
+  submitJob: make('submitJob', {
+    gateway: fc.nat(3),
+    tasks: fc.integer({ min: 1, max: 4 }),
+    runMs: fc.constantFrom(60_000, 15_000, 4000, 100),
+    preemptible: fc.boolean(),
+  }),
+  cancelJob: make('cancelJob', { gateway: fc.nat(3), job: fc.nat(5), all: fc.boolean() }),
   leave: make('leave', { caller: fc.nat(20) }),
   advance: make('advance', { ms: fc.constantFrom(5, 40, 250, 900, 1600, 3100, 4200, 7000) }),
   kill: make('kill', { node, forMs }),
--- a/test/fuzz/commands/restartWorker.ts
+++ b/test/fuzz/commands/restartWorker.ts
@@ -1,3 +1,4 @@
+import { endTask } from '../world/endTask.js';
 import { schedule } from '../world/schedule.js';
 import { traceStep } from '../world/traceStep.js';
 import type { World } from '../world/World.js';
@@ -14,6 +15,8 @@
   worker.downUntil = world.now + command.forMs;
   worker.incarnation += 1;
   worker.active.clear();
+  worker.tasks.forEach((task) => endTask(world, task, 'lost'));
+  worker.tasks.clear();
   worker.renewal = null;
   worker.startedAt = worker.downUntil;
   schedule(world, worker.downUntil, () => traceStep(world, `worker ${worker.id}`, 'started'));
--- a/test/fuzz/commands/runCommand.ts
+++ b/test/fuzz/commands/runCommand.ts
@@ -11,6 +11,8 @@
 import type { FuzzCommand } from './FuzzCommand.js';
 import { proposeSettings } from './proposeSettings.js';
 import { restartWorker } from './restartWorker.js';
+import { cancelJob } from './cancelJob.js';
+import { submitJob } from './submitJob.js';
 import { sendRequest } from './sendRequest.js';
 
 type Runner<T extends FuzzCommand['type']> = (
@@ -42,6 +44,8 @@
 
 const runners: { readonly [T in FuzzCommand['type']]: Runner<T> } = {
   request: sendRequest,
+  submitJob,
+  cancelJob,
   leave: (world, { caller }) => {
     if (world.history.callers.size === 0) return;
     const left = choose(world.history.callers.values(), caller);
--- a/test/fuzz/foundFaults.test.ts
+++ b/test/fuzz/foundFaults.test.ts
@@ -65,6 +65,17 @@
       { type: 'stop', node: 1, forMs: 5500 },
     ],
   ],
+  [
+    'restarted lead does not know the jobs of its peer',
+    'record',
+    249_142,
+    [
+      { type: 'submitJob', gateway: 0, tasks: 1, runMs: 15_000, preemptible: false },
+      { type: 'advance', ms: 11_700 },
+      { type: 'kill', node: 1, forMs: 300 },
+      { type: 'logOutage', forMs: 300 },
+    ],
+  ],
 ];
 
 // Guards against the return of faults that the fuzzer found.
--- a/test/fuzz/mutations/mutations.ts
+++ b/test/fuzz/mutations/mutations.ts
@@ -124,6 +124,32 @@
 const keepFailedRead: Change = (_state, event) =>
   event.type === 'logReadFailed' ? { ...event, readId: 'none' } : event;
 
+/** Changes the effects after `reduce` returned them. */
+const after =
+  (change: (state: State, effects: Effect[]) => Effect[]): typeof reduce =>
+  (state, event) =>
+    change(state, reduce(state, event));
+
+const renewBrokenGangs = after((state, effects) =>
+  effects
+    .filter((effect) => effect.type !== 'callWorker' || effect.call.kind !== 'stopTask')
+    .map((effect) => {
+      if (effect.type !== 'callWorker' || effect.call.kind !== 'lease') return effect;
+      const renewTasks = [...(state.jobs.tasksByWorker.get(effect.workerId) ?? [])];
+      return { ...effect, call: { ...effect.call, renewTasks } };
+    }),
+);
+
+const keepTaskLeases: Change = (state, event) => {
+  state.timing.taskLeaseMs = 60_000;
+  return event;
+};
+
+const dropUsage: Change = (_state, event) =>
+  event.type === 'logAppendFailed' && event.stream === 'usage'
+    ? { ...event, type: 'logAppended', firstOffset: 0 }
+    : event;
+
 /** Mutations by the name of the rule that each takes out. */
 export const mutations: Readonly<Record<string, Mutation>> = {
   'attempt ids match': { promise: 'answer', runs: 300, reduce: before(ignoreAttemptId) },
@@ -163,5 +189,8 @@
     reduce: before(denyLostAppend),
   },
   'failed read is repeated': { promise: 'settings', runs: 300, reduce: before(keepFailedRead) },
+  'broken gang is not renewed': { promise: 'gang', runs: 300, reduce: renewBrokenGangs },
+  'task lease ends by itself': { promise: 'gang', runs: 300, reduce: before(keepTaskLeases) },
+  'failed append is repeated': { promise: 'record', runs: 300, reduce: before(dropUsage) },
   'shutdown waits for open requests': { promise: 'shutdown', runs: 100, reduce: skipDrain },
 };
--- a/test/fuzz/profiles.ts
+++ b/test/fuzz/profiles.ts
@@ -1,8 +1,10 @@
 import { checkAnswer } from './oracle/checkAnswer.js';
+import { checkGang } from './oracle/checkGang.js';
 import { checkHolder } from './oracle/checkHolder.js';
 import { checkLeaving } from './oracle/checkLeaving.js';
 import { checkOnce } from './oracle/checkOnce.js';
 import { checkOneTree } from './oracle/checkOneTree.js';
+import { checkRecord } from './oracle/checkRecord.js';
 import { checkRefusal } from './oracle/checkRefusal.js';
 import { checkSettings } from './oracle/checkSettings.js';
 import { checkSettled } from './oracle/checkSettled.js';
@@ -83,6 +85,41 @@
     property: checkSettings,
     settled: checkOneTree,
   },
+  gang: {
+    world: oneZone,
+    weights: {
+      submitJob: 6,
+      cancelJob: 1,
+      advance: 10,
+      ...faults,
+      workerRestarts: 2,
+      cutZones: 0,
+    },
+    maxLength: 40,
+    settleMs: 30_000,
+    property: checkGang,
+  },
+  record: {
+    world: { ...twoZones, roles: ['gateway', 'scheduler', 'recorder'] },
+    weights: {
+      submitJob: 6,
+      cancelJob: 1,
+      advance: 10,
+      workerRestarts: 1,
+      kill: 2,
+      stop: 1,
+      cutVms: 1,
+      cutWorkers: 1,
+      cutLog: 1,
+      logOutage: 2,
+      loseAppendAnswers: 2,
+    },
+    maxLength: 30,
+    // Longest run, a task lease, and the resending of records.
+    settleMs: 100_000,
+    property: () => null,
+    settled: checkRecord,
+  },
   holder: {
     world: oneZone,
     weights: { advance: 10, ...faults, workerFails: 0, workerSlow: 0 },
--- a/test/fuzz/world/FakeWorker.ts
+++ b/test/fuzz/world/FakeWorker.ts
@@ -1,4 +1,5 @@
 import type { Clock } from './Clock.js';
+import type { FakeTask } from './FakeTask.js';
 
 /** Backend server that starts whatever it is given. */
 export interface FakeWorker {
@@ -14,4 +15,5 @@
   failingUntil: number;
   slowUntil: number;
   active: Set<string>;
+  tasks: Map<string, FakeTask>;
 }
--- a/test/fuzz/world/History.ts
+++ b/test/fuzz/world/History.ts
@@ -1,12 +1,18 @@
 import type { CallerRecord } from './CallerRecord.js';
 import type { OperatorRecord } from './OperatorRecord.js';
 import type { RunRecord } from './RunRecord.js';
+import type { TaskRun } from './TaskRun.js';
 
 /** What the outside saw, from which the oracle judges. */
 export interface History {
   callers: Map<string, CallerRecord>;
   operators: OperatorRecord[];
   runs: RunRecord[];
+  taskRuns: TaskRun[];
+  /** Longest time that a renewal of tasks was on its way. */
+  renewalTravelMs: number;
+  /** Ids of the submitted jobs, without their zone. */
+  jobs: string[];
   /** Moments at which two schedulers both held a worker or both led a zone. */
   overlaps: { at: number; what: 'worker' | 'lead'; id: string; holders: string[] }[];
   /** Processes that ended by themselves after SIGTERM, with the requests still open. */
--- a/test/fuzz/world/createWorld.ts
+++ b/test/fuzz/world/createWorld.ts
@@ -46,6 +46,7 @@
   failingUntil: 0,
   slowUntil: 0,
   active: new Set(),
+  tasks: new Map(),
 });
 
 const addNode = (world: World, zone: string, vmId: string, role: Role, clock: Clock): void => {
@@ -148,6 +149,9 @@
       callers: new Map(),
       operators: [],
       runs: [],
+      taskRuns: [],
+      renewalTravelMs: 0,
+      jobs: [],
       overlaps: [],
       exits: [],
       reverts: [],
