--- a/test/fuzz/commands/cancelJob.ts
+++ b/test/fuzz/commands/cancelJob.ts
@@ -1,5 +1,6 @@
 import { pushEvent } from '../world/pushEvent.js';
 import type { World } from '../world/World.js';
+import { findGateway } from './findGateway.js';
 import type { FuzzCommand } from './FuzzCommand.js';
 
 /** Lets callers cancel one job, or all of them in a wave. */
@@ -7,10 +8,9 @@
   world: World,
   command: Extract<FuzzCommand, { type: 'cancelJob' }>,
 ): void => {
-  const gateways = [...world.nodes.values()].filter((node) => node.state.self.role === 'gateway');
-  const gateway = gateways[command.gateway % gateways.length]!;
+  const gateway = findGateway(world, command.gateway);
   const { jobs } = world.history;
-  if (jobs.length === 0 || !gateway.alive) return;
+  if (jobs.length === 0 || !gateway) return;
   const chosen = command.all ? jobs : [jobs[command.job % jobs.length]!];
   chosen.forEach((jobId, index) =>
     pushEvent(world, gateway, gateway.life, {
--- a/test/fuzz/commands/proposeSettings.ts
+++ b/test/fuzz/commands/proposeSettings.ts
@@ -2,6 +2,7 @@
 import { makeSnapshot } from '../world/makeSnapshot.js';
 import { pushEvent } from '../world/pushEvent.js';
 import type { World } from '../world/World.js';
+import { findGateway } from './findGateway.js';
 import type { FuzzCommand } from './FuzzCommand.js';
 
 const buildSubtree = (world: World, path: SubtreePath, number: number): unknown => {
@@ -24,9 +25,8 @@
   world: World,
   command: Extract<FuzzCommand, { type: 'propose' }>,
 ): void => {
-  const gateways = [...world.nodes.values()].filter((node) => node.state.self.role === 'gateway');
-  const gateway = gateways[command.gateway % gateways.length]!;
-  if (!gateway.alive || !gateway.listening || gateway.pausedUntil > world.now) return;
+  const gateway = findGateway(world, command.gateway);
+  if (!gateway || gateway.pausedUntil > world.now) return;
   const { path } = command;
   const { operators } = world.history;
   const number = operators.length + 1;
--- a/test/fuzz/commands/sendRequest.ts
+++ b/test/fuzz/commands/sendRequest.ts
@@ -1,5 +1,6 @@
 import { pushEvent } from '../world/pushEvent.js';
 import type { World } from '../world/World.js';
+import { findGateway } from './findGateway.js';
 import type { FuzzCommand } from './FuzzCommand.js';
 
 /** Lets a caller send a request to a gateway that still accepts connections. */
@@ -7,9 +8,8 @@
   world: World,
   command: Extract<FuzzCommand, { type: 'request' }>,
 ): void => {
-  const gateways = [...world.nodes.values()].filter((node) => node.state.self.role === 'gateway');
-  const gateway = gateways[command.gateway % gateways.length]!;
-  if (!gateway.alive || !gateway.listening) return;
+  const gateway = findGateway(world, command.gateway);
+  if (!gateway) return;
   const { idempotent, timeoutMs, serviceMs } = command;
   const requestId = `r${world.history.callers.size + 1}`;
   const key = command.key === null ? null : `k${command.key}`;
--- a/test/fuzz/commands/submitJob.ts
+++ b/test/fuzz/commands/submitJob.ts
@@ -1,5 +1,6 @@
 import { pushEvent } from '../world/pushEvent.js';
 import type { World } from '../world/World.js';
+import { findGateway } from './findGateway.js';
 import type { FuzzCommand } from './FuzzCommand.js';
 
 /** Lets a caller submit a gang job at a gateway; its payload is the run time. */
@@ -7,9 +8,8 @@
   world: World,
   command: Extract<FuzzCommand, { type: 'submitJob' }>,
 ): void => {
-  const gateways = [...world.nodes.values()].filter((node) => node.state.self.role === 'gateway');
-  const gateway = gateways[command.gateway % gateways.length]!;
-  if (!gateway.alive || !gateway.listening) return;
+  const gateway = findGateway(world, command.gateway);
+  if (!gateway) return;
   const { jobs } = world.history;
   const { tasks, runMs, preemptible } = command;
   const number = jobs.length + 1;
