Scale a class's mean by the worker's slowness

Cause: for a class that a worker had not served, the estimate was the mean of all workers, whatever the worker's own speed, although the comment promised it.

Change: the mean is scaled by the worker's mean ratio over the classes that it has served.

--- a/src/core/routing/estimateServiceMs.ts
+++ b/src/core/routing/estimateServiceMs.ts
@@ -3,13 +3,24 @@
 
 const unknownServiceMs = 100;
 
+/** Mean of a worker's service times relative to those of all workers, over the classes it served. */
+const measureSlowness = (state: State, meanMsByClass: ReadonlyMap<string, number>): number => {
+  const ratios = [...meanMsByClass].map(
+    ([requestClass, meanMs]) => meanMs / (state.routing.classMeanMs.get(requestClass) ?? meanMs),
+  );
+  return ratios.length === 0 ? 1 : ratios.reduce((sum, ratio) => sum + ratio, 0) / ratios.length;
+};
+
 /**
  * Estimates how long a worker serves a request of a class, in milliseconds: by its own average for
- * the class, else by the average of the class elsewhere scaled by the worker's speed.
+ * the class, else by the average of the class elsewhere scaled by the worker's slowness.
+ * O(classes that the worker served).
  */
 export const estimateServiceMs = (state: State, workerId: string, requestClass: string): number => {
   const load = getWorkerLoad(state, workerId);
   const own = load.meanMsByClass.get(requestClass);
   if (own !== undefined) return own;
-  return state.routing.classMeanMs.get(requestClass) ?? load.meanMs ?? unknownServiceMs;
+  const classMs = state.routing.classMeanMs.get(requestClass);
+  if (classMs === undefined) return load.meanMs ?? unknownServiceMs;
+  return classMs * measureSlowness(state, load.meanMsByClass);
 };
