--- a/jest.config.js
+++ b/jest.config.js
@@ -9,4 +9,5 @@
     ],
   },
   testMatch: ['<rootDir>/test/**/*.test.ts'],
+  testPathIgnorePatterns: ['/node_modules/', '<rootDir>/test/e2e/'],
 };
--- /dev/null
+++ b/test/e2e/helpers/ShownJob.ts
@@ -0,0 +1,7 @@
+/** What the tests read of a job. */
+export interface ShownJob {
+  id: string;
+  state: string;
+  attempt: number;
+  parts: { workerId: string; taskId: string; state: string }[];
+}
--- /dev/null
+++ b/test/e2e/helpers/sendRequest.ts
@@ -0,0 +1,44 @@
+import { callApi } from '../../../tools/office/callApi.js';
+import type { Office } from '../../../tools/office/Office.js';
+import type { SentRequest } from './SentRequest.js';
+
+interface RequestOptions {
+  port: number;
+  path: string;
+  method?: 'GET' | 'POST';
+  workMs?: number;
+  timeoutMs?: number;
+  key?: string;
+  answerBytes?: number;
+}
+
+interface AnswerBody {
+  path?: string;
+  outcome?: 'not-run' | 'unknown';
+  code?: string;
+}
+
+/** Sends one short request of workspace `labels` and notes what its caller sees. */
+export const sendRequest = async (
+  office: Office,
+  { port, path, method = 'GET', workMs = 20, timeoutMs = 15_000, key, answerBytes }: RequestOptions,
+): Promise<SentRequest> => {
+  const sentAt = performance.now();
+  const sent = { method, path, key: key ?? null, port, sentWall: Date.now() };
+  const unseen = { status: null, outcome: null, code: null, servedPath: null };
+  try {
+    const { status, data } = await callApi(port, method, `/w/labels${path}`, {
+      token: office.rootToken,
+      headers: {
+        'x-work-ms': String(workMs),
+        'siskin-timeout-ms': String(timeoutMs),
+        ...(key === undefined ? {} : { 'idempotency-key': key }),
+        ...(answerBytes === undefined ? {} : { 'x-body-bytes': String(answerBytes) }),
+      },
+    });
+    const { path: servedPath = null, outcome = null, code = null } = data as AnswerBody;
+    return { ...sent, status, outcome, code, servedPath, tookMs: performance.now() - sentAt };
+  } catch {
+    return { ...sent, ...unseen, tookMs: performance.now() - sentAt };
+  }
+};
--- /dev/null
+++ b/test/e2e/helpers/startTestOffice.ts
@@ -0,0 +1,41 @@
+import { buildZones } from '../../../tools/office/buildZones.js';
+import type { Office } from '../../../tools/office/Office.js';
+import type { OfficeSpec } from '../../../tools/office/OfficeSpec.js';
+import { proposeSubtree } from '../../../tools/office/proposeSubtree.js';
+import { startOffice } from '../../../tools/office/startOffice.js';
+import { waitUntil } from '../../../tools/office/waitUntil.js';
+import { endOffice } from './endOffice.js';
+import { waitWhole } from './waitWhole.js';
+
+const createWorkspace = () => ({
+  weight: 1,
+  maxAccelerators: 64,
+  maxQueuedRequests: 1000,
+  guarantees: [],
+});
+
+const team = {
+  tokenHashes: [],
+  workspaces: { labels: createWorkspace(), transects: createWorkspace() },
+};
+
+const propose = (office: Office, path: string, content: unknown): Promise<true> =>
+  waitUntil(`${path} is accepted`, 10_000, async () => {
+    const { status, data } = await proposeSubtree(office, path, content, -1);
+    if (status !== 200) throw new Error(`${status} ${JSON.stringify(data)}`);
+    return true as const;
+  });
+
+/** Starts an office with two workspaces and waits until it is whole; ends it if that fails. */
+export const startTestOffice = async (spec: OfficeSpec): Promise<Office> => {
+  const office = await startOffice(spec);
+  try {
+    await propose(office, 'zones', buildZones(office));
+    await propose(office, 'teams/desk', team);
+    await waitWhole(office);
+  } catch (error) {
+    await endOffice(office);
+    throw error;
+  }
+  return office;
+};
