Answer short requests in full while a gateway drains

Cause: the middleware that adds `Connection: close` during a drain changed the response after the handler. hono then replaces the marker of an answer that is streamed later, and the server wrote an empty 200 at once. The caller took it for the whole answer, and no worker had run the request. Change: the header is set on the outgoing answer before the handler runs.

--- a/src/adapters/gateway/createGatewayServer.ts
+++ b/src/adapters/gateway/createGatewayServer.ts
@@ -43,9 +43,11 @@
       commands.set(requestId, resolve);
     });
   const application = new Hono<{ Bindings: HttpBindings }>();
-  application.use(async (context, next) => {
-    await next();
-    if (draining) context.header('connection', 'close');
+  application.use((context, next) => {
+    // Set on the answer itself: a header that hono adds after a handler replaces the response, and
+    // a caller whose answer is streamed later would receive an empty 200 in its place.
+    if (draining) context.env.outgoing.setHeader('connection', 'close');
+    return next();
   });
   application.get('/livez', (context) => context.text('ok'));
   application.get('/readyz', (context) =>
