--- a/tools/slopes/messageSamples.ts
+++ b/tools/slopes/messageSamples.ts
@@ -41,6 +41,7 @@
     draining: false,
     settingsVersion: 1_234_567,
   }),
+  goodbye: () => ({ type: 'goodbye' }),
   grantRequest: () => ({
     type: 'grantRequest',
     requestId,
