Fuzz the reclaim of a guaranteed shape

A workspace is guaranteed two whole workers; others fill and borrow them, and its urgent jobs must start within 6.1 s and two hops. Checkpoints take up to 6 s.

Found: with more accelerators than slots on a worker, the plan counts accelerators and jobs count the smaller number, so work that may not borrow takes guaranteed capacity.

--- a/test/fuzz/PromiseName.ts
+++ b/test/fuzz/PromiseName.ts
@@ -5,6 +5,7 @@
   | 'once'
   | 'leaving'
   | 'shutdown'
+  | 'guarantee'
   | 'settings'
   | 'record'
   | 'gang'
--- a/test/fuzz/commands/FuzzCommand.ts
+++ b/test/fuzz/commands/FuzzCommand.ts
@@ -10,6 +10,7 @@
       timeoutMs: number;
     }
   | { type: 'submitJob'; gateway: number; tasks: number; runMs: number; preemptible: boolean }
+  | { type: 'submitGuaranteed'; gateway: number }
   | { type: 'cancelJob'; gateway: number; job: number; all: boolean }
   | { type: 'leave'; caller: number }
   | { type: 'advance'; ms: number }
--- a/test/fuzz/commands/commandArbitraries.ts
+++ b/test/fuzz/commands/commandArbitraries.ts
@@ -29,6 +29,7 @@
     runMs: fc.constantFrom(60_000, 15_000, 4000, 100),
     preemptible: fc.boolean(),
   }),
+  submitGuaranteed: make('submitGuaranteed', { gateway: fc.nat(3) }),
   cancelJob: make('cancelJob', { gateway: fc.nat(3), job: fc.nat(5), all: fc.boolean() }),
   leave: make('leave', { caller: fc.nat(20) }),
   advance: make('advance', { ms: fc.constantFrom(5, 40, 250, 900, 1600, 3100, 4200, 7000) }),
--- a/test/fuzz/commands/runCommand.ts
+++ b/test/fuzz/commands/runCommand.ts
@@ -12,6 +12,7 @@
 import { proposeSettings } from './proposeSettings.js';
 import { restartWorker } from './restartWorker.js';
 import { cancelJob } from './cancelJob.js';
+import { submitGuaranteed } from './submitGuaranteed.js';
 import { submitJob } from './submitJob.js';
 import { sendRequest } from './sendRequest.js';
 
@@ -45,6 +46,7 @@
 const runners: { readonly [T in FuzzCommand['type']]: Runner<T> } = {
   request: sendRequest,
   submitJob,
+  submitGuaranteed,
   cancelJob,
   leave: (world, { caller }) => {
     if (world.history.callers.size === 0) return;
--- a/test/fuzz/mutations/mutations.ts
+++ b/test/fuzz/mutations/mutations.ts
@@ -150,6 +150,14 @@
     ? { ...event, type: 'logAppended', firstOffset: 0 }
     : event;
 
+// Without checkpoints and stops, lent capacity is never given back.
+const keepLentCells = after((_state, effects) =>
+  effects.filter(
+    (effect) =>
+      effect.type !== 'callWorker' || !['checkpointTask', 'stopTask'].includes(effect.call.kind),
+  ),
+);
+
 /** Mutations by the name of the rule that each takes out. */
 export const mutations: Readonly<Record<string, Mutation>> = {
   'attempt ids match': { promise: 'answer', runs: 300, reduce: before(ignoreAttemptId) },
@@ -191,6 +199,7 @@
   'failed read is repeated': { promise: 'settings', runs: 300, reduce: before(keepFailedRead) },
   'broken gang is not renewed': { promise: 'gang', runs: 300, reduce: renewBrokenGangs },
   'task lease ends by itself': { promise: 'gang', runs: 300, reduce: before(keepTaskLeases) },
+  'lent cells are reclaimed': { promise: 'guarantee', runs: 300, reduce: keepLentCells },
   'failed append is repeated': { promise: 'record', runs: 300, reduce: before(dropUsage) },
   'shutdown waits for open requests': { promise: 'shutdown', runs: 100, reduce: skipDrain },
 };
--- a/test/fuzz/profiles.ts
+++ b/test/fuzz/profiles.ts
@@ -1,5 +1,6 @@
 import { checkAnswer } from './oracle/checkAnswer.js';
 import { checkGang } from './oracle/checkGang.js';
+import { checkGuarantee } from './oracle/checkGuarantee.js';
 import { checkHolder } from './oracle/checkHolder.js';
 import { checkLeaving } from './oracle/checkLeaving.js';
 import { checkOnce } from './oracle/checkOnce.js';
@@ -86,6 +87,13 @@
     property: checkSettings,
     settled: checkOneTree,
   },
+  guarantee: {
+    world: { ...oneZone, guaranteed: true },
+    weights: { submitJob: 8, cancelJob: 1, submitGuaranteed: 3, advance: 8, request: 2 },
+    maxLength: 30,
+    settleMs: 10_000,
+    property: checkGuarantee,
+  },
   gang: {
     world: oneZone,
     weights: {
--- a/test/fuzz/world/History.ts
+++ b/test/fuzz/world/History.ts
@@ -13,6 +13,8 @@
   renewalTravelMs: number;
   /** Ids of the submitted jobs, without their zone. */
   jobs: string[];
+  /** Jobs of the guaranteed shape, with the time of their submission. */
+  guaranteed: { jobId: string; at: number }[];
   /** Moments at which two schedulers both held a worker or both led a zone. */
   overlaps: { at: number; what: 'worker' | 'lead'; id: string; holders: string[] }[];
   /** Processes that ended by themselves after SIGTERM, with the requests still open. */
--- a/test/fuzz/world/WorldOptions.ts
+++ b/test/fuzz/world/WorldOptions.ts
@@ -6,6 +6,8 @@
   zones: string[];
   workersPerZone: number;
   roles: Role[];
+  /** Whether workspace `beta` is guaranteed two workers of the first zone. */
+  guaranteed?: true;
   tracing: boolean;
   /** Replaces `reduce`, to take a rule out. */
   reduce?: typeof reduce;
