Limit the weight of one straggler in the service times

Cause: one request of 50 times the mean multiplied the average of its class and of its worker by about 11, so short requests went behind long ones and the worker was left idle for other reasons than its speed.

Change: one answer counts with at most 4 times the average.

--- a/src/core/routing/learnServiceTime.ts
+++ b/src/core/routing/learnServiceTime.ts
@@ -4,8 +4,14 @@
 
 const newestShare = 0.2;
 
+// One straggler of 50 times the mean would make a short class look long and its worker slow. A real
+// slowdown by 10 still shows after five answers.
+const maxFactor = 4;
+
 const blend = (old: number | null | undefined, value: number): number =>
-  old === null || old === undefined ? value : old + newestShare * (value - old);
+  old === null || old === undefined
+    ? value
+    : old + newestShare * (Math.min(value, maxFactor * old) - old);
 
 /** Updates the moving averages of service time with one answered attempt. */
 export const learnServiceTime = (state: State, grant: Grant, elapsedMs: number): void => {
--- a/test/core/routing/requestOrder.test.ts
+++ b/test/core/routing/requestOrder.test.ts
@@ -76,3 +76,13 @@
   daemon.push(ask('s', { requestClass: 'short' }));
   expect(daemon.state.routing.served.get('toys')).toBe(before);
 });
+
+// Guards against a short class that goes behind long ones after a single straggler.
+test('straggler does not change the order', () => {
+  const daemon = createBusy();
+  daemon.push(release('fill-1', 'answered', 10_000));
+  daemon.push(ask('fill-8', { requestClass: 'short' }));
+  daemon.push(ask('l', { requestClass: 'long' }));
+  daemon.push(ask('s', { requestClass: 'short' }));
+  expect(grantNext(daemon)).toEqual(['s']);
+});
