--- a/tools/bench/policies/createReducerJobPolicy.ts
+++ b/tools/bench/policies/createReducerJobPolicy.ts
@@ -10,6 +10,9 @@
 
 // Within the 4 s that the scheduler gives a checkpoint; the other calls are answered at once.
 const checkpointMs = 2000;
+// The quota counts all zones of an office. With the quota of one zone, a gang of the whole zone
+// waits for every other job of its workspace.
+const officeZones = 4;
 const gateway = 'vm-2/gateway' as const;
 const workerIds = Array.from({ length: zoneSize.workers }, (_, index) => `w${index}`);
 
@@ -20,7 +23,7 @@
       {
         weight,
         guarantees: guarantees[name] ?? [],
-        maxAccelerators: zoneSize.workers * zoneSize.acceleratorsPerWorker,
+        maxAccelerators: officeZones * zoneSize.workers * zoneSize.acceleratorsPerWorker,
         maxQueuedRequests: 0,
       },
     ]),
