--- /dev/null
+++ b/test/tools/bench/policies.test.ts
@@ -0,0 +1,56 @@
+import { expect, test } from '@jest/globals';
+import { compareWithBound } from '../../../tools/bench/compareWithBound.js';
+import type { BaselineWorker } from '../../../tools/bench/policies/BaselineWorker.js';
+import { createFewestRunning } from '../../../tools/bench/policies/createFewestRunning.js';
+import type { Attempt } from '../../../tools/bench/requests/Attempt.js';
+import { buildWorkers } from '../../../tools/bench/requests/buildWorkers.js';
+
+const attempt: Attempt = {
+  request: {
+    id: 'r',
+    at: 0,
+    workspace: 'desk',
+    requestClass: 'counter',
+    sizeMs: 40,
+    timeoutMs: 5000,
+    cancelled: false,
+  },
+  attempt: 1,
+  deadlineAt: 5000,
+  avoid: [],
+};
+
+const buildBaseline = (failedAt: number[][]): BaselineWorker[] =>
+  buildWorkers(failedAt.map(() => 1)).map((spec, index) => ({
+    spec,
+    running: new Map(),
+    completed: index,
+    failedAt: failedAt[index]!,
+  }));
+
+// Guards against a baseline that is weaker than its rules: no avoidance in the period of a failure,
+// no hold ticks in the next one, or no worker at all when every one has failed.
+test.each([
+  ['failed in this period', [[1000], []], 2000, 'w1'],
+  ['held after the last period', [[1000], []], 30_050, 'w1'],
+  ['reused after the hold', [[1000], []], 30_150, 'w0'],
+  ['all failed', [[1000], [1000]], 2000, 'w0'],
+])('fewest-running: %s', (_name, failedAt, at, chosen) => {
+  const worker = createFewestRunning().choose(buildBaseline(failedAt), attempt, at);
+  expect(worker?.spec.id).toBe(chosen);
+});
+
+// Guards against a comparison that takes the weaker baseline or oracle, or has its sign wrong.
+test.each([
+  ['lower', { a: 10, b: 12, oracle: 4, 'oracle-free': 2, ours: 4 }, 0.75],
+  ['higher', { a: 1, b: 0.5, oracle: 3, 'oracle-free': 5, ours: 2 }, 0.25],
+] as const)('share of the way to the bound, %s is better', (better, medians, share) => {
+  const result = Object.fromEntries(
+    Object.entries(medians).map(([policy, median]) => [
+      policy,
+      { m: { min: median, median, max: median } },
+    ]),
+  );
+  const experiment = { policies: [], compared: { m: better }, run: () => ({}) };
+  expect(compareWithBound(experiment, result)).toMatchObject([{ bestBaseline: 'a', share }]);
+});
