--- a/src/adapters/mesh/messageSchemas.ts
+++ b/src/adapters/mesh/messageSchemas.ts
@@ -28,6 +28,8 @@
   spec: z.looseObject({ tasks: countSchema, acceleratorsPerTask: countSchema }),
 });
 
+const recoveredJobSchema = jobSchema.pick({ id: true, workspace: true, zone: true, spec: true });
+
 const recordSchema = z.looseObject({ kind: textSchema, id: textSchema });
 
 const batchSchema = { batchId: textSchema, records: z.array(recordSchema) };
@@ -55,6 +57,7 @@
     draining: z.boolean(),
     settingsVersion: z.number().int(),
   }),
+  goodbye: z.looseObject({ type: z.literal('goodbye') }),
   grantRequest: z.looseObject({
     type: z.literal('grantRequest'),
     requestId: textSchema,
@@ -100,8 +103,20 @@
     freedKeys: z.array(textSchema),
     jobs: z.array(jobSchema),
     complete: z.boolean(),
+    supplement: z.literal(true).optional(),
   }),
   replicateAck: z.looseObject({ type: z.literal('replicateAck'), sequence: countSchema }),
+  jobsQuery: z.looseObject({
+    type: z.literal('jobsQuery'),
+    queryId: textSchema,
+    zone: textSchema,
+  }),
+  jobsRecovered: z.looseObject({
+    type: z.literal('jobsRecovered'),
+    queryId: textSchema,
+    jobs: z.array(recoveredJobSchema),
+    complete: z.boolean(),
+  }),
   command: z.looseObject({
     type: z.literal('command'),
     requestId: textSchema,
--- a/src/core/Message.ts
+++ b/src/core/Message.ts
@@ -1,6 +1,9 @@
 import type { CommandMessage } from './commands/CommandMessage.js';
 import type { CommandResultMessage } from './commands/CommandResultMessage.js';
+import type { GoodbyeMessage } from './membership/GoodbyeMessage.js';
 import type { HeartbeatMessage } from './membership/HeartbeatMessage.js';
+import type { JobsQueryMessage } from './recovery/JobsQueryMessage.js';
+import type { JobsRecoveredMessage } from './recovery/JobsRecoveredMessage.js';
 import type { CancelGrantMessage } from './routing/CancelGrantMessage.js';
 import type { GrantMessage } from './routing/GrantMessage.js';
 import type { GrantRequestMessage } from './routing/GrantRequestMessage.js';
@@ -19,6 +22,7 @@
 /** Everything that one daemon sends to another. */
 export type Message =
   | HeartbeatMessage
+  | GoodbyeMessage
   | GrantRequestMessage
   | GrantMessage
   | RefuseGrantMessage
@@ -26,6 +30,8 @@
   | CancelGrantMessage
   | ReplicateMessage
   | ReplicateAckMessage
+  | JobsQueryMessage
+  | JobsRecoveredMessage
   | CommandMessage
   | CommandResultMessage
   | SettingsTreeMessage
--- a/test/core/routing/routingHandlers.test.ts
+++ b/test/core/routing/routingHandlers.test.ts
@@ -128,3 +128,36 @@
   const granted = [...findMessages(first, 'grant'), ...findMessages(second, 'grant')];
   expect(granted.map(({ requestId }) => requestId)).toContain('l0');
 });
+
+// Guards against a copy that claims a key and frees it again, so that a successor forgets it.
+test('key claimed again is not freed in the copy', () => {
+  const daemon = makeHolder(['w1', 'w2']);
+  daemon.push(ask('r1', { idempotencyKey: 'k' }));
+  daemon.push({ type: 'linkOpened', node: 'vm-2/scheduler', zone: 'zone-a' });
+  daemon.push(release('r1', 'not-sent'));
+  const effects = daemon.push(ask('r1', { idempotencyKey: 'k', attempt: 2 }));
+  expect(findMessages(effects, 'replicate')).toMatchObject([
+    { keys: [{ requestId: 'r1' }], freedKeys: [] },
+  ]);
+});
+
+// Guards against served requests that no record names because their gateway was killed.
+test('lost gateway leaves an interval of unknown requests', () => {
+  const daemon = makeHolder(['w1']);
+  const lose = () => {
+    daemon.state.usage.open = [];
+    daemon.push(ask('r1'));
+    daemon.push(release('r1', 'answered'));
+    return daemon.push({ type: 'linkClosed', node: gateway });
+  };
+  lose();
+  expect(daemon.state.usage.open).toMatchObject([
+    { kind: 'requestsUnknown', workspace: 'toys', gateway, fromWall: -6500, toWall: 1000 },
+  ]);
+  daemon.state.usage.open = [];
+  daemon.push(ask('r2'));
+  daemon.push(release('r2', 'answered'));
+  daemon.push({ type: 'goodbye', from: gateway });
+  daemon.push({ type: 'linkClosed', node: gateway });
+  expect(daemon.state.usage.open).toEqual([]);
+});
--- /dev/null
+++ b/test/fuzz/promises.test.ts
@@ -0,0 +1,19 @@
+import { expect, test } from '@jest/globals';
+import { findFault } from './findFault.js';
+import { profiles } from './profiles.js';
+import type { PromiseName } from './PromiseName.js';
+
+// The promise `record` is in knownRed.test.ts.
+const names = (Object.keys(profiles) as PromiseName[]).filter((name) => name !== 'record');
+
+// Far above the usual time, for a busy machine.
+const timeoutMs = 60_000;
+
+// Guards against a broken promise under random faults; `npm run fuzz` runs more of the same.
+test.each(names)(
+  'promise %s',
+  (name) => {
+    expect(findFault(name, { seed: 2026, runs: 60 })).toBeNull();
+  },
+  timeoutMs,
+);
