Keep untaken checkpoints out of the fake workers' reports

The fake workers named a checkpoint in their lease reports before they answered the call that takes it.

--- a/tools/bench/jobs/FakeTask.ts
+++ b/tools/bench/jobs/FakeTask.ts
@@ -5,4 +5,6 @@
   workerId: string;
   report: TaskReport;
   startedAt: number | null;
+  /** Run time of the job at the newest checkpoint, as text. */
+  checkpoint?: string;
 }
--- a/tools/bench/jobs/createFakeWorkers.ts
+++ b/tools/bench/jobs/createFakeWorkers.ts
@@ -40,14 +40,15 @@
       task.report.state = 'running';
       return undefined;
     },
-    stopTask: ({ report }) => {
-      if (report.checkpoint !== undefined) doneMs.set(report.jobId, Number(report.checkpoint));
+    stopTask: ({ report, checkpoint }) => {
+      if (checkpoint !== undefined) doneMs.set(report.jobId, Number(checkpoint));
       tasks.delete(report.taskId);
       return undefined;
     },
-    checkpointTask: ({ report, startedAt }, at) => {
-      report.checkpoint = String((doneMs.get(report.jobId) ?? 0) + at - (startedAt ?? at));
-      return report.checkpoint;
+    // Kept out of the reports, because the caller answers only when the checkpoint is taken.
+    checkpointTask: (task, at) => {
+      task.checkpoint = String((doneMs.get(task.report.jobId) ?? 0) + at - (task.startedAt ?? at));
+      return task.checkpoint;
     },
   };
   return {
