Start no gang on a worker that only the VM list calls leaving

Cause: placement, held gangs and the guarantee plan looked only at the worker's own lease answer, while routing also looked at the VM list. Ruled out: the lag of the VM list (the stand-in ran without one, and the task started more than 5 s after the change). Change: all three use isWorkerLeaving, like routing.

--- a/src/core/guarantees/updatePlan.ts
+++ b/src/core/guarantees/updatePlan.ts
@@ -1,6 +1,7 @@
 import type { Effect } from '../Effect.js';
 import type { EventTime } from '../jobs/EventTime.js';
 import { isHeld } from '../ownership/isHeld.js';
+import { isWorkerLeaving } from '../routing/isWorkerLeaving.js';
 import type { State } from '../State.js';
 import { buildPlan } from './buildPlan.js';
 import type { GuaranteeCell } from './GuaranteeCell.js';
@@ -8,8 +9,7 @@
 const listUsable = (state: State, at: number): Set<string> => {
   const workers = state.settings.inForce?.tree.zones[state.self.zone]?.workers ?? {};
   const usable = Object.keys(workers).filter(
-    (id) =>
-      !workers[id]?.drained && !state.ownership.leases.get(id)?.leaving && isHeld(state, id, at),
+    (id) => !isWorkerLeaving(state, id) && isHeld(state, id, at),
   );
   return new Set(usable);
 };
--- a/src/core/jobs/buildWorkerViews.ts
+++ b/src/core/jobs/buildWorkerViews.ts
@@ -1,4 +1,5 @@
 import { isHeld } from '../ownership/isHeld.js';
+import { isWorkerLeaving } from '../routing/isWorkerLeaving.js';
 import type { State } from '../State.js';
 import { countRequests } from './countRequests.js';
 import type { GangHold } from './GangHold.js';
@@ -19,12 +20,12 @@
  * drained and not avoided. Cost: O(workers of the zone + parts of reclaiming jobs).
  */
 export const buildWorkerViews = (state: State, at: number): Map<string, WorkerView> => {
-  const { jobs, guarantees, ownership } = state;
+  const { jobs, guarantees } = state;
   const workers = state.settings.inForce?.tree.zones[state.self.zone]?.workers ?? {};
   const views = new Map<string, WorkerView>();
   Object.entries(workers).forEach(([workerId, worker]) => {
     const avoidUntil = jobs.faultsByWorker.get(workerId)?.avoidUntil ?? -Infinity;
-    if (worker.drained || ownership.leases.get(workerId)?.leaving) return;
+    if (isWorkerLeaving(state, workerId)) return;
     if (avoidUntil > at || !isHeld(state, workerId, at)) return;
     views.set(workerId, {
       workerId,
--- a/src/core/jobs/startHeldGangs.ts
+++ b/src/core/jobs/startHeldGangs.ts
@@ -1,5 +1,6 @@
 import type { Effect } from '../Effect.js';
 import { isHeld } from '../ownership/isHeld.js';
+import { isWorkerLeaving } from '../routing/isWorkerLeaving.js';
 import type { State } from '../State.js';
 import { countRequests } from './countRequests.js';
 import type { EventTime } from './EventTime.js';
@@ -18,9 +19,7 @@
 };
 
 const isUsable = (state: State, workerId: string, at: number): boolean =>
-  isHeld(state, workerId, at) &&
-  !state.ownership.leases.get(workerId)?.leaving &&
-  !state.settings.inForce?.tree.zones[state.self.zone]?.workers[workerId]?.drained;
+  isHeld(state, workerId, at) && !isWorkerLeaving(state, workerId);
 
 /**
  * Starts the gangs whose reclaimed capacity has become free; a gang that lost a worker is placed
