Count slots in the guarantee plan, write no attempt that was given up

Cause: the plan counted a worker's accelerators and placement the smaller of accelerators and slots; an attempt that was given up while its connection was being opened was still written. Change: the plan counts the smaller number; an abandoned attempt is aborted before its first byte.

--- a/src/adapters/callers/Attempt.ts
+++ b/src/adapters/callers/Attempt.ts
@@ -9,6 +9,8 @@
   phase: 'notSent' | 'sent' | 'headers';
   status: number;
   headers: Record<string, string | string[]>;
+  /** Whether the core gave the attempt up; one that is still connecting must not be written. */
+  abandoned: boolean;
   /** Whether the core let the answer through to the caller. */
   relayed: boolean;
 }
--- a/src/adapters/callers/createAttemptHandler.ts
+++ b/src/adapters/callers/createAttemptHandler.ts
@@ -18,9 +18,9 @@
   const { requestId, attemptId } = attempt;
   return {
     onRequestStart: (controller) => {
-      if (attempt.phase !== 'notSent') {
+      if (attempt.phase !== 'notSent' || attempt.abandoned) {
         // undici may write a request again after a lost connection; an attempt is written once.
-        controller.abort(new Error('attempt was already written'));
+        controller.abort(new Error('attempt was already written or given up'));
         return;
       }
       attempt.controller = controller;
--- a/src/adapters/callers/createCallerRunners.ts
+++ b/src/adapters/callers/createCallerRunners.ts
@@ -44,6 +44,7 @@
   phase: 'notSent',
   status: 0,
   headers: {},
+  abandoned: false,
   relayed: false,
 });
 
@@ -88,7 +89,9 @@
       if (caller && attempt) relay(caller, attempt, closeConnection);
     },
     abortAttempt: ({ attemptId }) => {
-      table.attempts.get(attemptId)?.controller?.abort(new Error('attempt was abandoned'));
+      const attempt = table.attempts.get(attemptId);
+      if (attempt) attempt.abandoned = true;
+      attempt?.controller?.abort(new Error('attempt was abandoned'));
       table.attempts.delete(attemptId);
     },
     refuseCaller: ({ requestId, refusal, closeConnection }) => {
--- a/src/core/guarantees/buildPlan.ts
+++ b/src/core/guarantees/buildPlan.ts
@@ -28,7 +28,12 @@
 ): FreeWorker[] =>
   Object.entries(tree.zones[zone]?.workers ?? {})
     .filter(([workerId]) => usable === null || usable.has(workerId))
-    .map(([workerId, { rack, accelerators }]) => ({ workerId, rack, free: accelerators }));
+    .map(([workerId, { rack, accelerators, slots }]) => ({
+      workerId,
+      rack,
+      // A task takes a slot for each accelerator.
+      free: Math.min(accelerators, slots),
+    }));
 
 const planShapes = (
   shapes: ZoneShape[],
