Record a task's end by the worker's own run time

Cause: a new lead learns of a task that ended under the former lead from its first lease report and recorded the moment of the claim as the task's end, so the invoice charged the take-over. Change: the end is the recorded start plus the run time that the worker reports, and never later than the report. Conclusion: a take-over is no longer charged to ended tasks. The unknown interval seen together with a recorded end after a reclaim was not reproduced.

--- a/src/core/jobs/applyTaskReport.ts
+++ b/src/core/jobs/applyTaskReport.ts
@@ -38,11 +38,20 @@
   return [...markRunning(job, part, event, report.ranMs), ...updatePhase(state, job, event)];
 };
 
+/**
+ * A worker reports an ended task long after its end when the lead changed in between; the worker's
+ * own measure of the run time keeps that delay out of the invoice.
+ */
+const computeEnd = (part: JobPart, { ranMs }: TaskReport, { at, wall }: EventTime): EventTime => ({
+  at,
+  wall: part.startedWall === null ? wall : Math.min(wall, part.startedWall + ranMs),
+});
+
 const applyFinished: Applier = (state, job, part, report, event) => {
   state.jobs.faultsByWorker.delete(part.workerId);
   return [
     ...markRunning(job, part, event, report.ranMs),
-    ...closePart(state, job, part, 'finished', event),
+    ...closePart(state, job, part, 'finished', computeEnd(part, report, event)),
     ...updatePhase(state, job, event),
   ];
 };
@@ -56,7 +65,7 @@
     job,
     part,
     report.state === 'failed' ? 'failed' : 'stopped',
-    event,
+    computeEnd(part, report, event),
   );
   return [
     ...started,
