--- /dev/null
+++ b/test/e2e/invoice.test.ts
@@ -0,0 +1,100 @@
+import { afterAll, beforeAll, expect, test } from '@jest/globals';
+import type { Invoice } from '../../src/core/usage/Invoice.js';
+import { killVm } from '../../tools/office/killVm.js';
+import type { Office } from '../../tools/office/Office.js';
+import { runCli } from '../../tools/office/runCli.js';
+import { waitUntil } from '../../tools/office/waitUntil.js';
+import { endOffice } from './helpers/endOffice.js';
+import type { JournalEntry } from './helpers/JournalEntry.js';
+import { readJournals } from './helpers/readJournals.js';
+import { startTestOffice } from './helpers/startTestOffice.js';
+import { submitGang } from './helpers/submitGang.js';
+import { waitForJob } from './helpers/waitForJob.js';
+import { waitForLead } from './helpers/waitForLead.js';
+
+const toleranceMs = 1500;
+// Take-over of 7.5 s, expiry of a task lease of 8 s, and 8 s until records are in the log.
+const recordLimitMs = 24_000;
+
+let office: Office;
+
+beforeAll(async () => {
+  office = await startTestOffice({ zones: ['zone-a'], vmsPerZone: 2, workersPerZone: 3 });
+}, 40_000);
+
+afterAll(() => endOffice(office));
+
+interface Run {
+  taskId: string;
+  fromWall: number;
+  toWall: number;
+}
+
+const listRuns = (journal: JournalEntry[]): Run[] => {
+  const ends = new Map(
+    journal.flatMap((line) =>
+      line.kind === 'taskEnded' ? [[line.taskId, line.wall] as const] : [],
+    ),
+  );
+  return journal.flatMap((line) => {
+    const toWall = line.kind === 'taskStarted' ? ends.get(line.taskId) : undefined;
+    return line.kind === 'taskStarted' && toWall !== undefined
+      ? [{ taskId: line.taskId, fromWall: line.wall, toWall }]
+      : [];
+  });
+};
+
+/** Lists what the invoice says about a task, and the worker's run, where the two disagree. */
+const findWrongRuns = (invoice: Invoice, runs: Run[]): unknown[] =>
+  runs.flatMap((run) => {
+    const lines = invoice.jobs
+      .flatMap((job) => job.lines)
+      .filter(({ taskId }) => taskId === run.taskId);
+    const unknown = invoice.unknown.filter(({ taskId }) => taskId === run.taskId);
+    const recordedMs = lines.reduce(
+      (sum, line) => sum + (line.kind === 'run' ? line.toWall - line.fromWall : line.deltaMs),
+      0,
+    );
+    const ranMs = run.toWall - run.fromWall;
+    const unknownMs = unknown.reduce((sum, { fromWall, toWall }) => sum + toWall - fromWall, 0);
+    const isOver = recordedMs > ranMs + toleranceMs;
+    const isUnder = recordedMs + unknownMs < ranMs - toleranceMs;
+    // An interval of unknown use that begins after the worker reported the end is not justified.
+    const isIdle = unknown.some(({ fromWall }) => fromWall > run.toWall + toleranceMs);
+    return isOver || isUnder || isIdle ? [{ run, ranMs, recordedMs, lines, unknown }] : [];
+  });
+
+const readInvoice = async (port: number, fromWall: number): Promise<Invoice> => {
+  const from = new Date(fromWall).toISOString();
+  const to = new Date(Date.now() + 60_000).toISOString();
+  const args = ['invoice', 'labels', '--from', from, '--to', to, '--json'];
+  const run = await runCli(port, office.rootToken, args);
+  return JSON.parse(run.stdout) as Invoice;
+};
+
+// Guards against an invoice that differs from what ran when the lead dies just after gangs ended,
+// while others run.
+test('invoice after a take-over', async () => {
+  const startedWall = Date.now();
+  const lead = await waitForLead(office, 'zone-a', office.vms[0]!.httpPort);
+  const { httpPort: port } = office.vms.find(({ id }) => id !== lead.id)!;
+  const gang = { zone: 'zone-a', acceleratorsPerTask: 4 };
+  const jobIds = [
+    await submitGang(office, port, { ...gang, tasks: 3, runMs: 2000 }),
+    await submitGang(office, port, { ...gang, tasks: 2, runMs: 9000 }),
+  ];
+  await Promise.all(jobIds.map((jobId) => waitForJob(office, port, jobId, 'running', 5000)));
+  await waitForJob(office, port, jobIds[0]!, 'finished', 5000);
+  await killVm(lead);
+  await waitForLead(office, 'zone-a', port, lead.id);
+  await waitForJob(office, port, jobIds[1]!, 'finished', 12_000);
+  const runs = listRuns(await readJournals(office));
+  expect(runs).toHaveLength(5);
+  let wrong: unknown[] = [];
+  await waitUntil('the invoice agrees with the journals', recordLimitMs, async () => {
+    const invoice = await readInvoice(port, startedWall);
+    wrong = findWrongRuns(invoice, runs);
+    return wrong.length === 0 ? true : undefined;
+  }).catch(() => undefined);
+  expect(wrong).toEqual([]);
+}, 60_000);
