Compare the demo's invoice with the workers' journals

Cause: the demo printed the invoice as soon as it named both jobs, before their ends were recorded, and compared nothing. Change: the last step waits for the ends of both gangs and compares each recorded run with the journals, tolerance 1.5 s. Conclusion: the demo ends with a record that was checked.

--- a/tools/demo/reportUsage.ts
+++ b/tools/demo/reportUsage.ts
@@ -1,52 +1,64 @@
-import { callApi } from '../office/callApi.js';
 import { runCli } from '../office/runCli.js';
 import { waitUntil } from '../office/waitUntil.js';
 import { check } from './check.js';
 import type { DemoContext } from './DemoContext.js';
 import type { DemoStep } from './DemoStep.js';
+import { readRuns } from './readRuns.js';
 import { waitForState } from './waitForState.js';
 
 const toleranceMs = 1500;
 
-interface JournalLine {
-  kind: string;
-  taskId?: string;
-  startedWall?: number;
-  endedWall?: number;
+interface ShownInvoice {
+  jobs: {
+    jobId: string;
+    lines: { kind: string; taskId: string; fromWall: number; toWall: number }[];
+  }[];
+  openTasks: { jobId: string }[];
 }
 
-const readJournals = async ({ office }: DemoContext): Promise<JournalLine[]> => {
-  const answers = await Promise.all(
-    office.workers.map(({ port }) => callApi(port, 'GET', '/debug/journal')),
-  );
-  return answers.flatMap(({ data }) => (data as { lines: JournalLine[] }).lines);
-};
-
-const printReport = async (context: DemoContext, workspace: string): Promise<string> => {
-  const { office, httpPort, startedWall } = context;
-  const period = [
-    '--from',
-    new Date(startedWall).toISOString(),
-    '--to',
-    new Date(Date.now() + 1000).toISOString(),
-  ];
-  const run = await runCli(httpPort, office.rootToken, ['invoice', workspace, ...period]);
+const printInvoice = async (
+  { office, httpPort, startedWall }: DemoContext,
+  workspace: string,
+  options: string[],
+): Promise<string> => {
+  const fromTo = [startedWall, Date.now() + 1000].map((wall) => new Date(wall).toISOString());
+  const period = ['--from', fromTo[0]!, '--to', fromTo[1]!];
+  const args = ['invoice', workspace, ...period, ...options];
+  const run = await runCli(httpPort, office.rootToken, args);
   check(run.code === 0, `the invoice of ${workspace} is printed (${run.stderr})`);
   return run.stdout;
 };
 
+const readEndedRuns = async (context: DemoContext): Promise<Map<string, number> | undefined> => {
+  const invoice = JSON.parse(await printInvoice(context, 'labels', ['--json'])) as ShownInvoice;
+  const wanted = [context.jobs.gang, context.jobs.urgent];
+  const jobs = invoice.jobs.filter(({ jobId }) => wanted.includes(jobId));
+  const isOpen = invoice.openTasks.some(({ jobId }) => wanted.includes(jobId));
+  if (jobs.length < wanted.length || isOpen) return undefined;
+  const lines = jobs.flatMap((job) => job.lines).filter(({ kind }) => kind === 'run');
+  return new Map(lines.map(({ taskId, fromWall, toWall }) => [taskId, toWall - fromWall]));
+};
+
+const compareRuns = (recorded: Map<string, number>, ran: Map<string, number>): number => {
+  const differences = [...recorded].map(([taskId, recordedMs]) => {
+    const ranMs = ran.get(taskId);
+    check(ranMs !== undefined, `a worker ran ${taskId}`);
+    return Math.abs(recordedMs - (ranMs ?? 0));
+  });
+  return Math.max(...differences);
+};
+
 const run = async (context: DemoContext): Promise<void> => {
   await waitForState(context, 'labels', 'urgent', 'finished', 30_000);
-  const gang = context.jobs.gang!;
-  const urgent = context.jobs.urgent!;
-  const report = await waitUntil('both jobs stand in the invoice', 10_000, async () => {
-    const text = await printReport(context, 'labels');
-    return text.includes(gang) && text.includes(urgent) ? text : undefined;
-  });
-  const journal = await readJournals(context);
-  check(journal.length > 0, 'the workers kept a journal');
-  context.print(`invoice of labels (tolerance against the workers ${toleranceMs} ms):\n${report}`);
-  context.print(`invoice of transects:\n${await printReport(context, 'transects')}`);
+  const recorded = await waitUntil('the ends of both gangs stand in the invoice', 15_000, () =>
+    readEndedRuns(context),
+  );
+  check(recorded.size === 4, 'both gangs of two parts are in the invoice');
+  const worstMs = compareRuns(recorded, await readRuns(context.office));
+  check(worstMs <= toleranceMs, `the record is within ${toleranceMs} ms of the workers' journals`);
+  context.print(`4 recorded runs differ from the workers' journals by at most ${worstMs} ms`);
+  context.print(`invoice of labels:\n${await printInvoice(context, 'labels', [])}`);
+  context.print(`invoice of transects:\n${await printInvoice(context, 'transects', [])}`);
 };
 
 /** Ends with the usage report of both workspaces. */
