Note the uncounted requests of a whole VM that died

Ruled out: copies of the counts on other VMs, a message for each interval and gateway; naming the workspaces, which only the dead VM knew. Change: every scheduler of the zone that loses a gateway without a goodbye records one interval for all workspaces. Conclusion: what is lost stands in the record as unknown, also for a whole VM.

--- a/src/core/routing/RoutingState.ts
+++ b/src/core/routing/RoutingState.ts
@@ -17,8 +17,8 @@
   classTakenAt: Map<string, number>;
   /** Workers on which each class failed since it last succeeded. */
   failedWorkersByClass: Map<string, Set<string>>;
-  /** Epoch time at which each gateway last ended an attempt of each workspace. */
-  countedWall: Map<NodeId, Map<string, number>>;
+  /** Gateways that have handed their counts of requests over before they end. */
+  departed: Set<NodeId>;
   keys: Map<string, KeyRecord>;
   /** Keyed requests that wait until the zone's other schedulers know their key. */
   keyWaits: { request: WaitingRequest; sequence: number }[];
--- a/src/core/routing/createRoutingState.ts
+++ b/src/core/routing/createRoutingState.ts
@@ -9,7 +9,7 @@
   classMeanMs: new Map(),
   classTakenAt: new Map(),
   failedWorkersByClass: new Map(),
-  countedWall: new Map(),
+  departed: new Set(),
   keys: new Map(),
   keyWaits: [],
   keyMemoryGapUntil: 0,
--- a/src/core/routing/handleGoodbye.ts
+++ b/src/core/routing/handleGoodbye.ts
@@ -2,8 +2,8 @@
 import type { EventOf } from '../EventOf.js';
 import type { State } from '../State.js';
 
-/** Forgets the use of a gateway that has handed its counts over. */
+/** Remembers that a gateway has handed its counts over, until it is linked again. */
 export const handleGoodbye = (state: State, event: EventOf<'goodbye'>): Effect[] => {
-  state.routing.countedWall.delete(event.from);
+  state.routing.departed.add(event.from);
   return [];
 };
--- a/src/core/routing/handleLinkClosed.ts
+++ b/src/core/routing/handleLinkClosed.ts
@@ -2,7 +2,6 @@
 import type { EventOf } from '../EventOf.js';
 import { getNodeRole } from '../getNodeRole.js';
 import type { State } from '../State.js';
-import { noteCounted } from './noteCounted.js';
 import { noteLostCounts } from './noteLostCounts.js';
 import { freeKey } from './freeKey.js';
 
@@ -25,9 +24,7 @@
     .forEach((wait) => freeKey(state, wait.request.keyId!, wait.request.requestId));
   routing.keyWaits = routing.keyWaits.filter((wait) => !isGone(wait.request));
   routing.grants.forEach((grant) => {
-    if (!isGone(grant)) return;
-    grant.orphanedAt = event.at;
-    noteCounted(state, event.node, grant.workspace, event.wall);
+    if (isGone(grant)) grant.orphanedAt = event.at;
   });
   return noteLostCounts(state, event.node, event.wall);
 };
--- a/src/core/routing/handleReleaseGrant.ts
+++ b/src/core/routing/handleReleaseGrant.ts
@@ -8,7 +8,6 @@
 import type { Grant } from './Grant.js';
 import { learnServiceTime } from './learnServiceTime.js';
 import { noteAttemptFailure } from './noteAttemptFailure.js';
-import { noteCounted } from './noteCounted.js';
 import { noteAttemptSuccess } from './noteAttemptSuccess.js';
 
 type OutcomeHandler = (state: State, grant: Grant, elapsedMs: number, at: number) => void;
@@ -50,7 +49,6 @@
   if (!grant || grant.gateway !== event.from) return [];
   state.routing.grants.delete(event.attemptId);
   getWorkerLoad(state, grant.workerId).grants.delete(event.attemptId);
-  noteCounted(state, event.from, grant.workspace, event.wall);
   outcomeHandlers[event.outcome](state, grant, event.elapsedMs, event.at);
   return assignWaiting(state, event.at);
 };
--- a/src/core/routing/noteLostCounts.ts
+++ b/src/core/routing/noteLostCounts.ts
@@ -1,27 +1,25 @@
 import type { Effect } from '../Effect.js';
 import type { NodeId } from '../NodeId.js';
 import type { State } from '../State.js';
+import { allWorkspaces } from '../usage/allWorkspaces.js';
 import type { StoredRecord } from '../usage/StoredRecord.js';
 
 /**
- * Records that the counts of short requests which a lost gateway had not handed on are unknown, for
- * each workspace for which it ended an attempt within that time. A gateway that comes back hands them on
- * late; the interval then stands beside them. O(workspaces of the gateway).
+ * Records that the counts of short requests which a lost gateway of this zone had not handed on are
+ * unknown. Nobody else knows which workspaces it served, as its VM may have taken the scheduler that
+ * granted them along. If the gateway lives, its counts appear beside the interval.
  */
 export const noteLostCounts = (state: State, gateway: NodeId, wall: number): Effect[] => {
   const { usageCountMs, usageBatchMs, usageResendMs } = state.timing;
-  const fromWall = wall - usageCountMs - usageBatchMs - usageResendMs;
-  const counted = state.routing.countedWall.get(gateway) ?? new Map<string, number>();
-  state.routing.countedWall.delete(gateway);
-  const records = [...counted]
-    .filter(([, endedWall]) => endedWall >= fromWall)
-    .map(([workspace]): StoredRecord => ({
-      kind: 'requestsUnknown',
-      id: `${gateway}/${wall}/${workspace}`,
-      workspace,
-      gateway,
-      fromWall,
-      toWall: wall,
-    }));
-  return records.length === 0 ? [] : [{ type: 'emit', event: { type: 'usageNoted', records } }];
+  const isLocal = state.membership.peers.get(gateway)?.zone === state.self.zone;
+  if (!isLocal || state.routing.departed.has(gateway)) return [];
+  const record: StoredRecord = {
+    kind: 'requestsUnknown',
+    id: `${gateway}/${state.self.vmId}/${wall}`,
+    workspace: allWorkspaces,
+    gateway,
+    fromWall: wall - usageCountMs - usageBatchMs - usageResendMs,
+    toWall: wall,
+  };
+  return [{ type: 'emit', event: { type: 'usageNoted', records: [record] } }];
 };
--- /dev/null
+++ b/src/core/usage/allWorkspaces.ts
@@ -0,0 +1,2 @@
+/** Stands for every workspace in a record; no workspace can have this name. */
+export const allWorkspaces = '*';
--- a/src/core/usage/buildInvoice.ts
+++ b/src/core/usage/buildInvoice.ts
@@ -1,3 +1,4 @@
+import { allWorkspaces } from './allWorkspaces.js';
 import { buildInvoiceJobs } from './buildInvoiceJobs.js';
 import { buildUnknown } from './buildUnknown.js';
 import { collectTasks } from './collectTasks.js';
@@ -17,7 +18,9 @@
   fromWall: number,
   toWall: number,
 ): Invoice => {
-  const own = records.filter((record) => record.workspace === workspace);
+  const own = records.filter(
+    (record) => record.workspace === workspace || record.workspace === allWorkspaces,
+  );
   const byId = new Map<string, UsageRecord>();
   own.forEach((record) => {
     if (!byId.has(record.id)) byId.set(record.id, record);
--- a/src/core/usage/handleReportRead.ts
+++ b/src/core/usage/handleReportRead.ts
@@ -1,3 +1,4 @@
+import { allWorkspaces } from './allWorkspaces.js';
 import { answerCommand } from '../commands/answerCommand.js';
 import type { Effect } from '../Effect.js';
 import type { EventOf } from '../EventOf.js';
@@ -9,7 +10,10 @@
 import { usageRecordSchema } from './usageRecordSchema.js';
 
 const isOfWorkspace = (data: unknown, workspace: string): boolean =>
-  typeof data === 'object' && data !== null && 'workspace' in data && data.workspace === workspace;
+  typeof data === 'object' &&
+  data !== null &&
+  'workspace' in data &&
+  (data.workspace === workspace || data.workspace === allWorkspaces);
 
 const addPage = (report: UsageReport, event: EventOf<'logRead'>): Effect[] =>
   event.records
--- a/test/core/usage/buildInvoice.test.ts
+++ b/test/core/usage/buildInvoice.test.ts
@@ -75,3 +75,15 @@
   const rest = buildInvoice(records, 'x', 137, 300).acceleratorMs;
   expect(sum + rest).toBe(buildInvoice(records, 'x', 0, 300).acceleratorMs);
 });
+
+// Guards against an invoice that hides requests which a lost gateway served and nobody counted.
+test('interval without counts stands in every invoice', () => {
+  const gap: UsageRecord = {
+    ...{ kind: 'requestsUnknown', id: 'u1', workspace: '*', gateway: 'vm-1/gateway' },
+    ...{ fromWall: 80, toWall: 120 },
+  };
+  const invoices = ['x', 'y'].map((name) => buildInvoice([...records, gap], name, 100, 200));
+  expect(invoices.map(({ unknownRequests }) => unknownRequests)).toEqual(
+    Array(2).fill([{ gateway: 'vm-1/gateway', fromWall: 100, toWall: 120 }]),
+  );
+});
