Read whole streams in one way

Cause: the invoice and the recovery of jobs each had their own paging of a log stream, with the same rules for its end, expired records and failed reads. Conclusion: no behaviour changes.

--- /dev/null
+++ b/src/core/recovery/findScan.ts
@@ -0,0 +1,6 @@
+import type { JobScan } from './JobScan.js';
+import type { RecoveryState } from './RecoveryState.js';
+
+/** Finds the scan that waits for a read. */
+export const findScan = ({ scans }: RecoveryState, readId: string): JobScan | undefined =>
+  [...scans.values()].find((scan) => scan.readId === readId);
--- a/src/core/usage/handleReportRead.ts
+++ b/src/core/usage/handleReportRead.ts
@@ -2,6 +2,7 @@
 import { answerCommand } from '../commands/answerCommand.js';
 import type { Effect } from '../Effect.js';
 import type { EventOf } from '../EventOf.js';
+import { advanceRead } from '../log/advanceRead.js';
 import type { State } from '../State.js';
 import { buildInvoice } from './buildInvoice.js';
 import { findReport } from './findReport.js';
@@ -31,12 +32,9 @@
 export const handleReportRead = (state: State, event: EventOf<'logRead'>): Effect[] => {
   const report = findReport(state.usage, event.readId);
   if (!report) return [];
-  report.readId = null;
   report.oldestOffset = Math.max(report.oldestOffset, event.oldestOffset);
   const effects = addPage(report, event);
-  const ended = event.records.length === 0 && event.oldestOffset <= report.nextOffset;
-  report.nextOffset = Math.max(event.nextOffset, event.oldestOffset);
-  if (!ended) return [...effects, ...readReport(state, report)];
+  if (!advanceRead(report, event)) return [...effects, ...readReport(state, report)];
   state.usage.reports.delete(report);
   const { records, workspace, fromWall, toWall, oldestOffset } = report;
   const data = { ...buildInvoice(records, workspace, fromWall, toWall), oldestOffset };
