Record tasks that ended or started while their scheduler died

Cause: with both schedulers of a zone dead, a task that ended unwatched left no record; a start that a dead scheduler had noted, or only sent, was not repeated when its part had ended before the claim. Ruled out: an unknown interval for every ended task in a report, which would stand beside recorded runs after each take-over. Change: workers report how long ago a task ended; a claim records ended tasks nobody watched, and repeats the starts of all parts known there before it compares; the copy of a gang leaves before its start calls; run time proves a start that no copy names. Two scenarios moved to the found faults.

--- a/src/adapters/worker/workerReportSchema.ts
+++ b/src/adapters/worker/workerReportSchema.ts
@@ -30,6 +30,7 @@
       ]),
       checkpoint: z.string().optional(),
       ranMs: z.number(),
+      endedAgoMs: z.number().optional(),
     }),
   ),
   activeRequests: z.array(z.string()),
--- a/src/core/jobs/applyTaskReport.ts
+++ b/src/core/jobs/applyTaskReport.ts
@@ -47,10 +47,13 @@
   wall: part.startedWall === null ? wall : Math.min(wall, part.startedWall + ranMs),
 });
 
+/** Time since the start of a task that has ended. */
+const computeSinceMs = ({ ranMs, endedAgoMs = 0 }: TaskReport): number => ranMs + endedAgoMs;
+
 const applyFinished: Applier = (state, job, part, report, event) => {
   state.jobs.faultsByWorker.delete(part.workerId);
   return [
-    ...markRunning(job, part, event, report.ranMs),
+    ...markRunning(job, part, event, computeSinceMs(report)),
     ...closePart(state, job, part, 'finished', computeEnd(part, report, event)),
     ...updatePhase(state, job, event),
   ];
@@ -59,7 +62,9 @@
 const applyFailed: Applier = (state, job, part, report, event) => {
   const blame = report.state === 'failed' ? 'task' : 'none';
   const workerIds = [part.workerId];
-  const started = part.startSentWall === null ? [] : markRunning(job, part, event, report.ranMs);
+  // The copy of a dead scheduler may not know that the part was started; its run time shows it.
+  const hasRun = part.startSentWall !== null || report.ranMs > 0;
+  const started = hasRun ? markRunning(job, part, event, computeSinceMs(report)) : [];
   const ended = closePart(
     state,
     job,
--- a/src/core/jobs/handleWorkerClaimed.ts
+++ b/src/core/jobs/handleWorkerClaimed.ts
@@ -8,6 +8,7 @@
 import type { JobPart } from './JobPart.js';
 import { compareReport } from './compareReport.js';
 import { listPartsOnWorker } from './listPartsOnWorker.js';
+import { recordEndedTask } from './recordEndedTask.js';
 import { recordUse } from './recordUse.js';
 
 // Times of a replicated job were taken on another VM's clock.
@@ -44,8 +45,15 @@
     const job = jobs.jobs.get(jobId ?? '');
     if (job && !isJobEnded(job)) takeOver(state, job, event.at, ranMs.get(job.id) ?? 0);
   });
+  // Tasks that the comparison closes get their records there.
+  const unwatched = event.report.tasks.filter(({ taskId }) => !jobs.jobByTask.has(taskId));
+  const starts = [...listPartsOnWorker(jobs, event.workerId)].flatMap(([job, parts]) =>
+    recordStarts(job, parts),
+  );
   const compared = compareReport(state, event.workerId, event.report, event, Infinity);
-  const adopted = [...listPartsOnWorker(jobs, event.workerId)];
-  adopted.forEach(([job]) => renewGang(state, job, event.at));
-  return [...compared, ...adopted.flatMap(([job, parts]) => recordStarts(job, parts))];
+  [...listPartsOnWorker(jobs, event.workerId).keys()].forEach((job) =>
+    renewGang(state, job, event.at),
+  );
+  const ended = unwatched.flatMap((task) => recordEndedTask(event.workerId, task, event));
+  return [...starts, ...compared, ...ended];
 };
--- a/src/core/jobs/startParts.ts
+++ b/src/core/jobs/startParts.ts
@@ -1,5 +1,6 @@
 import type { Effect } from '../Effect.js';
 import { isHeld } from '../ownership/isHeld.js';
+import { sendCopies } from '../replication/sendCopies.js';
 import type { State } from '../State.js';
 import { addDeadline } from './addDeadline.js';
 import { callPart } from './callPart.js';
@@ -16,10 +17,14 @@
   setJobState(state, job, 'starting', at);
   addDeadline(state.jobs, job, at + state.timing.gangStartMs);
   job.startedWall = wall;
-  return job.parts
-    .filter((part) => part.state === 'prepared')
-    .flatMap((part) => {
-      part.startSentWall = wall;
-      return callPart(state, job, part, 'startTask', at);
-    });
+  const prepared = job.parts.filter((part) => part.state === 'prepared');
+  prepared.forEach((part) => {
+    part.startSentWall = wall;
+  });
+  state.replication.changedJobs.add(job.id);
+  // The copy leaves before the calls, so that a successor knows that the parts may have run.
+  return [
+    ...sendCopies(state, at),
+    ...prepared.flatMap((part) => callPart(state, job, part, 'startTask', at)),
+  ];
 };
--- a/src/core/ownership/TaskReport.ts
+++ b/src/core/ownership/TaskReport.ts
@@ -14,4 +14,6 @@
   checkpoint?: string;
   /** Milliseconds that the task has run, by the worker's own clock. */
   ranMs: number;
+  /** Milliseconds since the task's end, by the worker's own clock; absent while it is alive. */
+  endedAgoMs?: number;
 }
--- a/standins/worker/buildReport.ts
+++ b/standins/worker/buildReport.ts
@@ -21,6 +21,7 @@
     state: task.state,
     ...(task.checkpoint === undefined ? {} : { checkpoint: task.checkpoint }),
     ranMs: task.ranMs,
+    ...(task.endedAt === null ? {} : { endedAgoMs: at - task.endedAt }),
   })),
   activeRequests: [...state.requests.values()].flatMap(({ attemptId }) => attemptId ?? []),
 });
--- a/test/fuzz/foundFaults.test.ts
+++ b/test/fuzz/foundFaults.test.ts
@@ -115,6 +115,33 @@
       { type: 'logOutage', forMs: 300 },
     ],
   ],
+  [
+    'end of a task while no scheduler of its zone lives',
+    'record',
+    249_142,
+    [
+      { type: 'submitJob', gateway: 0, tasks: 1, runMs: 15_000, preemptible: false },
+      { type: 'advance', ms: 7000 },
+      { type: 'kill', node: 4, forMs: 5500 },
+      { type: 'advance', ms: 1600 },
+      { type: 'advance', ms: 3100 },
+      { type: 'kill', node: 1, forMs: 300 },
+      { type: 'logOutage', forMs: 300 },
+    ],
+  ],
+  [
+    'start that only the copy of the job knows',
+    'record',
+    404_885,
+    [
+      { type: 'submitJob', gateway: 0, tasks: 2, runMs: 60_000, preemptible: false },
+      { type: 'advance', ms: 40 },
+      { type: 'submitJob', gateway: 0, tasks: 1, runMs: 60_000, preemptible: false },
+      { type: 'advance', ms: 40 },
+      { type: 'kill', node: 1, forMs: 300 },
+      { type: 'workerRestarts', worker: 0, forMs: 300 },
+    ],
+  ],
 ];
 
 // Guards against the return of faults that the fuzzer found.
--- a/test/fuzz/world/FakeTask.ts
+++ b/test/fuzz/world/FakeTask.ts
@@ -8,5 +8,6 @@
   leaseUntil: number;
   startedAt: number | null;
   ended: boolean;
+  endedAt: number | null;
   run: TaskRun | null;
 }
--- a/test/fuzz/world/endTask.ts
+++ b/test/fuzz/world/endTask.ts
@@ -7,6 +7,7 @@
 export const endTask = (world: World, task: FakeTask, end: Exclude<TaskRun['end'], null>): void => {
   if (task.ended) return;
   task.ended = true;
+  task.endedAt = world.now;
   task.state = end;
   if (task.startedAt !== null) task.ranMs = world.now - task.startedAt;
   if (task.run) Object.assign(task.run, { endedAt: world.now, end });
--- a/test/fuzz/world/serveLease.ts
+++ b/test/fuzz/world/serveLease.ts
@@ -33,6 +33,7 @@
     state: task.state,
     ...(task.checkpoint === undefined ? {} : { checkpoint: task.checkpoint }),
     ranMs: task.ended ? task.ranMs : now - (task.startedAt ?? now),
+    ...(task.endedAt === null ? {} : { endedAgoMs: now - task.endedAt }),
   }));
 
 const renewTasks = (world: World, worker: FakeWorker, call: LeaseCall): void =>
--- a/test/fuzz/world/serveTask.ts
+++ b/test/fuzz/world/serveTask.ts
@@ -60,6 +60,7 @@
       leaseUntil: world.now + leaseMs / worker.clock.rate,
       startedAt: null,
       ended: false,
+      endedAt: null,
       run: null,
     };
     worker.tasks.set(call.taskId, task);
