--- a/src/adapters/mesh/attachLink.ts
+++ b/src/adapters/mesh/attachLink.ts
@@ -53,7 +53,9 @@
       },
     );
   });
-  socket.on('error', (error) => {
+  socket.on('error', (error: Error & { code?: string }) => {
+    // The library rejects frames that are too large or malformed before they are decoded.
+    if (error.code?.startsWith('WS_ERR_')) count('message_rejected');
     logger.write('warn', 'link_failed', { node, error: error.message });
   });
   socket.on('close', () => {
