Log the way of a request at debug level

Cause: a request could be followed by its id only when it was refused. Change: gateway and scheduler write a line when a request is taken, granted and answered, at the level 'debug'. Conclusion: a request is traceable across processes when logLevel is debug.

--- a/src/core/Effect.ts
+++ b/src/core/Effect.ts
@@ -41,7 +41,7 @@
   | { type: 'gauge'; name: GaugeName; value: number }
   | {
       type: 'log';
-      level: 'info' | 'warn' | 'error';
+      level: 'debug' | 'info' | 'warn' | 'error';
       /** Stable code, listed in docs/operate. */
       code: string;
       fields: Record<string, unknown>;
--- a/src/core/requests/handleAttemptEnded.ts
+++ b/src/core/requests/handleAttemptEnded.ts
@@ -15,5 +15,14 @@
   const outcome = failed ? 'failed' : 'answered';
   state.requests.exchanges.delete(exchange.requestId);
   noteUse(state, exchange, outcome, event.at);
-  return releaseAttempt(exchange, outcome, event.at);
+  const { requestId, attempt, workerId, status, dispatchedAt } = exchange;
+  return [
+    ...releaseAttempt(exchange, outcome, event.at),
+    {
+      type: 'log',
+      level: 'debug',
+      code: 'request_answered',
+      fields: { requestId, attempt, workerId, status, elapsedMs: event.at - dispatchedAt },
+    },
+  ];
 };
--- a/src/core/requests/handleCallerRequested.ts
+++ b/src/core/requests/handleCallerRequested.ts
@@ -49,5 +49,14 @@
   countRequest(state, event.at);
   const exchange = createExchange(event);
   state.requests.exchanges.set(event.requestId, exchange);
-  return askGrant(state, exchange, event.at);
+  const { requestId, workspace, requestClass, idempotent } = exchange;
+  return [
+    {
+      type: 'log',
+      level: 'debug',
+      code: 'request_received',
+      fields: { requestId, workspace, requestClass, idempotent },
+    },
+    ...askGrant(state, exchange, event.at),
+  ];
 };
--- a/src/core/routing/assignWaiting.ts
+++ b/src/core/routing/assignWaiting.ts
@@ -41,6 +41,17 @@
         startWithinMs: state.timing.grantStartMs,
       },
     },
+    {
+      type: 'log',
+      level: 'debug',
+      code: 'request_granted',
+      fields: {
+        requestId: request.requestId,
+        attemptId,
+        workerId,
+        waitedMs: at - request.enqueuedAt,
+      },
+    },
   ];
 };
 
