--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 import tseslint from 'typescript-eslint';
 
 export default [
-  { ignores: ['dist/', 'node_modules/', 'coverage/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'coverage/'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
@@ -18,7 +18,7 @@
   { files: ['*.config.js'], rules: { 'import-x/extensions': 'off' } },
   { files: ['tools/*.js'], languageOptions: { globals: { process: 'readonly' } } },
   {
-    files: ['src/**/*.ts', 'standins/**/*.ts', 'tools/**/*.ts', 'test/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'standins/**/*.ts', 'tools/**/*.ts', 'test/**/*.ts'],
     rules: {
       // Named exports keep a file's name and its export the same (docs/style.md).
       'import-x/prefer-default-export': 'off',
--- /dev/null
+++ b/src/adapters/journal/decodeRecord.ts
@@ -0,0 +1,65 @@
+import { unpack } from 'msgpackr';
+import type { ClaimRecord } from '../../control/journal/ClaimRecord.js';
+import type { JournalRecord } from '../../control/journal/JournalRecord.js';
+import type { EncodedRecord } from './EncodedRecord.js';
+import { journalKeys } from './journalKeys.js';
+import { recordSchemas } from './recordSchemas.js';
+
+type Decoded = JournalRecord | ClaimRecord;
+
+type Decoder = (value: unknown, id: string) => Decoded;
+
+const decodeProgress: Decoder = (value, id) => {
+  const [state, endedAt, rows] = recordSchemas.progress.parse(value);
+  const tasks = rows.map(
+    ([occurrence, step, index, taskState, run, failures, workerId, checkpoint]) => ({
+      occurrence,
+      step,
+      index,
+      state: taskState,
+      run,
+      failures,
+      workerId,
+      checkpoint,
+    }),
+  );
+  return { type: 'progress', id, progress: { state, endedAt, tasks } };
+};
+
+const decoders = new Map<string, Decoder>([
+  [
+    journalKeys.submission,
+    (value) => ({ type: 'submission', submission: recordSchemas.submission.parse(value) }),
+  ],
+  [
+    journalKeys.cancellation,
+    (value, id) => ({ type: 'cancellation', id, at: recordSchemas.cancellation.parse(value).at }),
+  ],
+  [journalKeys.progress, decodeProgress],
+  [journalKeys.lead, (value) => ({ type: 'lead', ...recordSchemas.lead.parse(value) })],
+]);
+
+const partNames = new Map([
+  [journalKeys.submission, 'submission'],
+  [journalKeys.cancellation, 'cancellation'],
+  [journalKeys.progress, 'progress'],
+] as const);
+
+/** Decodes a record of the journal or, with `claims`, of the claims; null if it is unreadable. */
+export const decodeRecord = (
+  { key, value }: EncodedRecord,
+  stream: 'journal' | 'claims',
+): Decoded | null => {
+  const [kind = '', id = ''] = key.split('/');
+  try {
+    if (stream === 'claims') return { type: 'claim', ...recordSchemas.claim.parse(unpack(value)) };
+    if (value.length === 0) {
+      const of = partNames.get(kind as 's' | 'c' | 'p');
+      return of ? { type: 'dropped', of, id } : null;
+    }
+    return decoders.get(kind)?.(unpack(value), id) ?? null;
+  } catch {
+    // Bytes of another writer; the caller counts and logs them.
+    return null;
+  }
+};
--- /dev/null
+++ b/src/adapters/journal/encodeRecord.ts
@@ -0,0 +1,57 @@
+import { pack } from 'msgpackr';
+import type { ClaimRecord } from '../../control/journal/ClaimRecord.js';
+import type { JournalRecord } from '../../control/journal/JournalRecord.js';
+import type { Progress } from '../../control/jobs/Progress.js';
+import type { EncodedRecord } from './EncodedRecord.js';
+import { journalKeys } from './journalKeys.js';
+
+type AnyRecord = JournalRecord | ClaimRecord;
+
+type Encoders = {
+  [T in AnyRecord['type']]: (record: Extract<AnyRecord, { type: T }>) => EncodedRecord;
+};
+
+/** Tasks are the bulk of the journal, so they are written as rows without names. */
+const encodeProgress = ({ state, endedAt, tasks }: Progress): Buffer =>
+  pack([
+    state,
+    endedAt,
+    tasks.map((task) => [
+      task.occurrence,
+      task.step,
+      task.index,
+      task.state,
+      task.run,
+      task.failures,
+      task.workerId,
+      task.checkpoint,
+    ]),
+  ]);
+
+const encoders: Encoders = {
+  submission: ({ submission }) => ({
+    key: `${journalKeys.submission}/${submission.id}`,
+    value: pack(submission),
+  }),
+  cancellation: ({ id, at }) => ({ key: `${journalKeys.cancellation}/${id}`, value: pack({ at }) }),
+  progress: ({ id, progress }) => ({
+    key: `${journalKeys.progress}/${id}`,
+    value: encodeProgress(progress),
+  }),
+  lead: ({ token, vmId, resigned }) => ({
+    key: journalKeys.lead,
+    value: pack({ token, vmId, resigned }),
+  }),
+  dropped: ({ of, id }) => ({ key: `${journalKeys[of]}/${id}`, value: Buffer.alloc(0) }),
+  claim: ({ vmId, incarnation }) => ({
+    key: journalKeys.claim,
+    value: pack({ vmId, incarnation }),
+  }),
+};
+
+/** Encodes a record of the journal or of the claims. */
+export const encodeRecord = (record: AnyRecord): EncodedRecord => {
+  // The table's type ties each encoder to its record type; the look-up erases that tie.
+  const encode = encoders[record.type] as (next: AnyRecord) => EncodedRecord;
+  return encode(record);
+};
--- /dev/null
+++ b/src/adapters/journal/journalKeys.ts
@@ -0,0 +1,8 @@
+/** First part of the key of each kind of record; the job's id follows. */
+export const journalKeys = {
+  submission: 's',
+  cancellation: 'c',
+  progress: 'p',
+  lead: 'l',
+  claim: 'l',
+} as const;
--- /dev/null
+++ b/src/adapters/logger/LogSource.ts
@@ -0,0 +1,6 @@
+/** The process that writes a log line. */
+export interface LogSource {
+  vmId: string;
+  zone: string;
+  role: string;
+}
--- a/src/adapters/logger/createLogger.ts
+++ b/src/adapters/logger/createLogger.ts
@@ -1,8 +1,8 @@
 import { Logger as TslogLogger } from 'tslog';
-import type { Self } from '../../core/Self.js';
 import { formatLogLine } from './formatLogLine.js';
 import type { Logger } from './Logger.js';
 import type { LogLevel } from './LogLevel.js';
+import type { LogSource } from './LogSource.js';
 import type { LogStreams } from './LogStreams.js';
 
 interface Line {
@@ -17,7 +17,7 @@
 
 /** Creates the logger of a daemon: JSON lines, warnings and errors on stderr, the rest on stdout. */
 export const createLogger = (
-  self: Self,
+  self: LogSource,
   level: LogLevel,
   streams: LogStreams = process,
 ): Logger => {
--- a/src/adapters/logger/formatLogLine.ts
+++ b/src/adapters/logger/formatLogLine.ts
@@ -1,5 +1,5 @@
-import type { Self } from '../../core/Self.js';
 import type { LogLevel } from './LogLevel.js';
+import type { LogSource } from './LogSource.js';
 
 /** Values that JSON would drop or reject are written as text. */
 const toJsonValue = (_key: string, value: unknown): unknown => {
@@ -9,7 +9,7 @@
 
 /** Formats one log line; a field cannot replace the keys that identify the line. */
 export const formatLogLine = (
-  self: Self,
+  self: LogSource,
   line: { time: Date; level: LogLevel; code: string; fields: Record<string, unknown> },
 ): string => {
   const { requestId, ...fields } = line.fields;
--- /dev/null
+++ b/src/adapters/loop/createEventLoop.ts
@@ -0,0 +1,37 @@
+import { performance } from 'node:perf_hooks';
+import type { EventLoop } from './EventLoop.js';
+
+/**
+ * Creates the loop of a daemon around its reducer. An event gets its time when it is taken from the
+ * queue, so that a process that was paused sees how much time has passed before it acts on what was
+ * queued.
+ */
+export const createEventLoop = <TEvent extends object, TEffect extends { type: string }>(
+  reduce: (event: TEvent & { at: number; wall: number }) => TEffect[],
+): EventLoop<TEvent, TEffect> => {
+  const queue: TEvent[] = [];
+  const runners = new Map<string, (effect: TEffect) => void>();
+  let running = false;
+  const runEffect = (effect: TEffect): void => runners.get(effect.type)?.(effect);
+  const drain = (): void => {
+    running = true;
+    try {
+      for (let event = queue.shift(); event; event = queue.shift()) {
+        reduce({ ...event, at: performance.now(), wall: Date.now() }).forEach(runEffect);
+      }
+    } finally {
+      running = false;
+    }
+  };
+  return {
+    push: (event) => {
+      queue.push(event);
+      if (!running) drain();
+    },
+    attach: (added) => {
+      Object.entries(added).forEach(([type, runner]) =>
+        runners.set(type, runner as (effect: TEffect) => void),
+      );
+    },
+  };
+};
--- /dev/null
+++ b/src/control/Effect.ts
@@ -0,0 +1,20 @@
+import type { CallerEffect } from './callers/CallerEffect.js';
+import type { LogFields } from './LogFields.js';
+import type { StreamEffect } from './streams/StreamEffect.js';
+import type { WorkerEffect } from './workers/WorkerEffect.js';
+
+/** What a daemon does to the outside; executed by adapters after `reduce` returned. */
+export type Effect =
+  | CallerEffect
+  | StreamEffect
+  | WorkerEffect
+  | { type: 'count'; name: string; reason: string }
+  | { type: 'observe'; name: string; ms: number }
+  | {
+      type: 'log';
+      level: 'debug' | 'info' | 'warn' | 'error';
+      /** Stable code, listed in docs/OPERATIONS.md. */
+      code: string;
+      fields: LogFields;
+    }
+  | { type: 'exit' };
--- /dev/null
+++ b/src/control/Event.ts
@@ -0,0 +1,18 @@
+import type { CallerEvent } from './callers/CallerEvent.js';
+import type { StreamEvent } from './streams/StreamEvent.js';
+import type { WorkerEvent } from './workers/WorkerEvent.js';
+
+/** Everything that `reduce` reacts to. */
+export type Event = (
+  | CallerEvent
+  | StreamEvent
+  | WorkerEvent
+  | { type: 'started' }
+  | { type: 'tick' }
+  | { type: 'shutdownRequested' }
+) & {
+  /** Monotonic milliseconds when the event was taken from the queue, not when it arrived. */
+  at: number;
+  /** Epoch milliseconds at the same moment; only for records and due times, never for leases. */
+  wall: number;
+};
--- /dev/null
+++ b/src/control/Now.ts
@@ -0,0 +1,7 @@
+/** The time of the event that is being handled. */
+export interface Now {
+  /** Monotonic milliseconds. */
+  at: number;
+  /** Epoch milliseconds. */
+  wall: number;
+}
--- /dev/null
+++ b/src/control/callers/OpenRequest.ts
@@ -0,0 +1,7 @@
+/** A request that waits for the store. */
+export interface OpenRequest {
+  requestId: number;
+  jobId: string;
+  /** Monotonic time at which the caller stops waiting. */
+  deadlineAt: number;
+}
--- /dev/null
+++ b/src/control/callers/answerCaller.ts
@@ -0,0 +1,13 @@
+import type { Effect } from '../Effect.js';
+import type { State } from '../State.js';
+import type { CallerAnswer } from './CallerAnswer.js';
+
+/** Answers a request, unless it was answered before. */
+export const answerCaller = (state: State, requestId: number, answer: CallerAnswer): Effect[] => {
+  state.callers.open.delete(requestId);
+  const reason = answer.type === 'refused' ? answer.reason : answer.type;
+  return [
+    { type: 'answerCaller', requestId, answer },
+    { type: 'count', name: 'answers', reason },
+  ];
+};
--- /dev/null
+++ b/src/control/callers/finishCallerAppend.ts
@@ -0,0 +1,31 @@
+import type { Effect } from '../Effect.js';
+import { applyRecord } from '../journal/applyRecord.js';
+import type { Now } from '../Now.js';
+import type { State } from '../State.js';
+import { answerCaller } from './answerCaller.js';
+import type { CallerAppend } from './CallerAppend.js';
+import { dropCallerAppend } from './dropCallerAppend.js';
+
+/** Answers the callers whose record the journal now has. */
+export const finishCallerAppend = (
+  state: State,
+  append: CallerAppend,
+  offset: number,
+  now: Now,
+): Effect[] => {
+  dropCallerAppend(state, append);
+  const fields = {
+    requestId: append.jobId,
+    record: append.record.type,
+    offset,
+    tookMs: Math.round(now.at - append.firstAt),
+  };
+  return [
+    { type: 'observe', name: 'caller_append_ms', ms: now.at - append.firstAt },
+    { type: 'log', level: 'info', code: 'request_recorded', fields },
+    ...applyRecord(state, { ...append.record, offset }, now),
+    ...append.requests.flatMap((requestId) =>
+      state.callers.open.has(requestId) ? answerCaller(state, requestId, { type: 'accepted' }) : [],
+    ),
+  ];
+};
--- /dev/null
+++ b/src/control/callers/handleRequest.ts
@@ -0,0 +1,50 @@
+import { findQueue } from '../config/findQueue.js';
+import { findWorkspace } from '../config/findWorkspace.js';
+import type { Queue } from '../config/Queue.js';
+import type { Effect } from '../Effect.js';
+import type { Now } from '../Now.js';
+import type { State } from '../State.js';
+import { answerCaller } from './answerCaller.js';
+import type { CallerRequest } from './CallerRequest.js';
+import { countPending } from './countPending.js';
+import { handleCancel } from './handleCancel.js';
+import { handleShow } from './handleShow.js';
+import { handleSubmit } from './handleSubmit.js';
+import type { Operation } from './Operation.js';
+import type { OperationHandler } from './OperationHandler.js';
+import { refuseCaller } from './refuseCaller.js';
+
+const operations: Record<Operation, OperationHandler> = {
+  submit: handleSubmit,
+  show: handleShow,
+  cancel: handleCancel,
+};
+
+const jobIdPattern = /^[0-9a-f]{16}$/;
+
+const serveQueue = (
+  state: State,
+  request: CallerRequest,
+  queue: Queue,
+  workspace: string,
+  now: Now,
+): Effect[] => {
+  const id = request.path.slice(queue.prefix.length);
+  if (id === '' && request.operation === 'show') {
+    const count = countPending(state, queue.name);
+    return answerCaller(state, request.requestId, { type: 'pending', count });
+  }
+  if (!jobIdPattern.test(id)) return refuseCaller(state, request, 'no-queue', now.at);
+  return operations[request.operation](state, request, { id, queue, workspace }, now);
+};
+
+/** Serves a request by the configuration in force: its queue, its key, then its operation. */
+export const handleRequest = (state: State, request: CallerRequest, now: Now): Effect[] => {
+  const { config } = state;
+  if (!config) return refuseCaller(state, request, 'no-config', now.at);
+  const queue = findQueue(config, request.host, request.path);
+  if (!queue) return refuseCaller(state, request, 'no-queue', now.at);
+  const workspace = findWorkspace(config, request.key);
+  if (!workspace && !queue.open) return refuseCaller(state, request, 'unknown-key', now.at);
+  return serveQueue(state, request, queue, workspace?.name ?? '', now);
+};
--- /dev/null
+++ b/src/control/callers/handleSubmit.ts
@@ -0,0 +1,22 @@
+import { appendForCaller } from './appendForCaller.js';
+import { answerCaller } from './answerCaller.js';
+import type { OperationHandler } from './OperationHandler.js';
+import { refuseCaller } from './refuseCaller.js';
+
+/** Accepts a job: answered when the journal has it. */
+export const handleSubmit: OperationHandler = (state, request, target, now) => {
+  const { id, queue, workspace } = target;
+  if (state.jobs.get(id)?.submission) {
+    return answerCaller(state, request.requestId, { type: 'accepted' });
+  }
+  if (!request.definition) return refuseCaller(state, request, 'invalid-job', now.at);
+  const submission = {
+    id,
+    queue: queue.name,
+    service: queue.service,
+    workspace,
+    acceptedAt: now.wall,
+    definition: request.definition,
+  };
+  return appendForCaller(state, request, id, { type: 'submission', submission }, now);
+};
--- /dev/null
+++ b/src/control/featureTables.ts
@@ -0,0 +1,19 @@
+import { callersHandlers } from './callers/callersHandlers.js';
+import type { HandlerTable } from './HandlerTable.js';
+import { electionHandlers } from './lead/electionHandlers.js';
+import { leadHandlers } from './lead/leadHandlers.js';
+import { progressHandlers } from './progress/progressHandlers.js';
+import { shutdownHandlers } from './shutdown/shutdownHandlers.js';
+import { streamsHandlers } from './streams/streamsHandlers.js';
+import { workersHandlers } from './workers/workersHandlers.js';
+
+/** Handler tables of all features, in the order in which they see an event. */
+export const featureTables: readonly HandlerTable[] = [
+  streamsHandlers,
+  shutdownHandlers,
+  progressHandlers,
+  electionHandlers,
+  workersHandlers,
+  leadHandlers,
+  callersHandlers,
+];
--- /dev/null
+++ b/src/control/journal/getJob.ts
@@ -0,0 +1,11 @@
+import type { Job } from '../jobs/Job.js';
+import type { State } from '../State.js';
+
+/** Finds a job, or adds an empty one when a part of it is read for the first time. */
+export const getJob = (state: State, id: string): Job => {
+  const known = state.jobs.get(id);
+  if (known) return known;
+  const job: Job = { id, submission: null, cancelled: false, progress: null, progressOffset: -1 };
+  state.jobs.set(id, job);
+  return job;
+};
--- /dev/null
+++ b/src/control/lead/Election.ts
@@ -0,0 +1,8 @@
+/** State of this VM's attempt to become the lead. */
+export interface Election {
+  phase: 'idle' | 'reading' | 'claiming';
+  /** Open call to the store. */
+  callId: number;
+  /** Monotonic time before which no new attempt starts. */
+  waitUntil: number;
+}
--- /dev/null
+++ b/src/control/lead/Term.ts
@@ -0,0 +1,30 @@
+import type { JobPlan } from '../plans/JobPlan.js';
+import type { StepPlan } from '../plans/StepPlan.js';
+import type { PendingWrite } from '../progress/PendingWrite.js';
+import type { Worker } from '../workers/Worker.js';
+
+/** State of the lead; it is dropped as a whole when the term ends. */
+export interface Term {
+  /** Fencing token. */
+  token: number;
+  /** Number of the next conditional append. */
+  sequence: number;
+  phase: 'fencing' | 'reading' | 'asking' | 'scheduling';
+  /** Monotonic time at which the phase began. */
+  phaseSince: number;
+  /** Monotonic time at which the term began. */
+  since: number;
+  /** Journal offset up to which must be read before anything is decided. */
+  fenceEnd: number;
+  plans: Map<string, JobPlan>;
+  workers: Map<string, Worker>;
+  /** Gangs that lost a member; the others have to stop. */
+  brokenGangs: Set<StepPlan>;
+  /** Jobs whose progress has to be written. */
+  dirty: Set<string>;
+  write: PendingWrite | null;
+  /** Monotonic time of the last append to the journal. */
+  lastWriteAt: number;
+  /** Something changed that may allow a placement. */
+  placementDue: boolean;
+}
--- /dev/null
+++ b/src/control/lead/advanceTerm.ts
@@ -0,0 +1,73 @@
+import type { Effect } from '../Effect.js';
+import type { Now } from '../Now.js';
+import { placeWaiting } from '../placement/placeWaiting.js';
+import { buildPlans } from '../plans/buildPlans.js';
+import { writeProgress } from '../progress/writeProgress.js';
+import { stopBrokenGangs } from '../runs/stopBrokenGangs.js';
+import type { State } from '../State.js';
+import { driveHolds } from '../workers/driveHolds.js';
+import type { Term } from './Term.js';
+
+// Workers that do not answer a new lead in this time are waited for one by one.
+const askingMs = 600;
+
+type PhaseStep = (state: State, term: Term, now: Now) => Effect[];
+
+const enterPhase = (term: Term, phase: Term['phase'], now: Now): Effect[] => {
+  term.phase = phase;
+  term.phaseSince = now.at;
+  const fields = { phase, token: term.token, sinceMs: Math.round(now.at - term.since) };
+  return [{ type: 'log', level: 'info', code: 'term_phase', fields }];
+};
+
+const finishReading: PhaseStep = (state, term, now) => {
+  const { journal, workers } = state.streams;
+  if (journal.phase !== 'tail' || journal.next < term.fenceEnd || workers.phase !== 'tail') {
+    return [];
+  }
+  const effects = enterPhase(term, 'asking', now);
+  effects.push(...buildPlans(state, term, now));
+  return [...effects, ...driveHolds(state, term, now)];
+};
+
+const isAnswered = (term: Term): boolean =>
+  [...term.workers.values()].every(({ entry, clock }) => entry === null || clock !== null);
+
+const finishAsking: PhaseStep = (state, term, now) => {
+  if (!isAnswered(term) && now.at - term.phaseSince < askingMs) {
+    return [...driveHolds(state, term, now), ...writeProgress(state, term, now)];
+  }
+  term.placementDue = true;
+  return enterPhase(term, 'scheduling', now);
+};
+
+const scheduleTasks: PhaseStep = (state, term, now) => {
+  const effects = driveHolds(state, term, now);
+  // Starts are written before they are sent, so a pass during an open append gains nothing.
+  if (term.placementDue && term.write === null && state.shutdownAt === null) {
+    effects.push(...placeWaiting(state, term, now));
+  }
+  return [...effects, ...writeProgress(state, term, now)];
+};
+
+const repeatFence: PhaseStep = (state, term, now) => {
+  if (term.write) return writeProgress(state, term, now);
+  return enterPhase(term, 'reading', now);
+};
+
+const phaseSteps: Record<Term['phase'], PhaseStep> = {
+  fencing: repeatFence,
+  reading: finishReading,
+  asking: finishAsking,
+  scheduling: scheduleTasks,
+};
+
+/** Does what the state of the term now allows; called after each event. */
+export const advanceTerm = (state: State, now: Now): Effect[] => {
+  const { term } = state;
+  if (!term) return [];
+  const before = term.phase;
+  const effects = stopBrokenGangs(term, now);
+  effects.push(...phaseSteps[before](state, term, now));
+  return term.phase === before ? effects : [...effects, ...advanceTerm(state, now)];
+};
--- /dev/null
+++ b/src/control/lead/endTerm.ts
@@ -0,0 +1,22 @@
+import type { Effect } from '../Effect.js';
+import type { Now } from '../Now.js';
+import type { State } from '../State.js';
+import { closeStream } from '../streams/closeStream.js';
+
+/** Ends this VM's term; nothing that the term knew is used again. */
+export const endTerm = (
+  state: State,
+  reason: 'higher-token' | 'worker-fenced' | 'journal-fenced' | 'resigned',
+  now: Now,
+): Effect[] => {
+  const { term } = state;
+  if (!term) return [];
+  state.term = null;
+  state.lead.lastSeenAt = now.at;
+  closeStream(state, 'workers');
+  const fields = { token: term.token, reason, lastedMs: Math.round(now.at - term.since) };
+  return [
+    { type: 'count', name: 'terms_ended', reason },
+    { type: 'log', level: 'info', code: 'term_ended', fields },
+  ];
+};
--- /dev/null
+++ b/src/control/lead/leadHandlers.ts
@@ -0,0 +1,16 @@
+import type { Effect } from '../Effect.js';
+import type { HandlerTable } from '../HandlerTable.js';
+import type { Now } from '../Now.js';
+import { retryOrders } from '../runs/retryOrders.js';
+import type { State } from '../State.js';
+
+const tickTerm = (state: State, now: Now): Effect[] => {
+  const { term } = state;
+  if (!term || term.phase === 'fencing' || term.phase === 'reading') return [];
+  // Due times, ends of leases and of pauses pass without an event of their own.
+  term.placementDue = true;
+  return retryOrders(state, term, now);
+};
+
+/** Watches the times that matter to a term. */
+export const leadHandlers: HandlerTable = { tick: tickTerm };
--- /dev/null
+++ b/src/control/placement/Pass.ts
@@ -0,0 +1,10 @@
+import type { Resources } from '../Resources.js';
+import type { Worker } from '../workers/Worker.js';
+
+/** What one placement pass has decided so far. */
+export interface Pass {
+  /** Workers that may get work, by service. */
+  workersByService: Map<string, Worker[]>;
+  /** Room that is kept for guaranteed tasks whose victims are stopping, by worker. */
+  held: Map<string, Resources>;
+}
--- /dev/null
+++ b/src/control/placement/collectUnits.ts
@@ -0,0 +1,49 @@
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import { isJobEnded } from '../plans/isJobEnded.js';
+import type { JobPlan } from '../plans/JobPlan.js';
+import type { OccurrencePlan } from '../plans/OccurrencePlan.js';
+import { openOccurrences } from '../plans/openOccurrences.js';
+import type { StepPlan } from '../plans/StepPlan.js';
+import { computeRank } from './computeRank.js';
+import type { Unit } from './Unit.js';
+
+const isReady = (occurrence: OccurrencePlan, step: StepPlan): boolean =>
+  step.remaining > 0 && step.step.after.every((index) => occurrence.steps[index]?.remaining === 0);
+
+const buildUnit = (
+  plan: JobPlan,
+  occurrence: OccurrencePlan,
+  step: StepPlan,
+  guaranteed: boolean,
+  now: Now,
+): Unit | null => {
+  const tasks = step.tasks.filter(({ state }) => state === 'waiting');
+  if (tasks.length === 0) return null;
+  if (step.step.gang && tasks.length < step.tasks.length) return null;
+  return {
+    plan,
+    occurrence,
+    step,
+    tasks,
+    guaranteed,
+    rank: computeRank(plan, occurrence, guaranteed, now),
+  };
+};
+
+/** Lists what waits to start, the most urgent first. */
+export const collectUnits = (term: Term, guaranteed: Set<string>, now: Now): Unit[] => {
+  const units: Unit[] = [];
+  term.plans.forEach((plan) => {
+    if (isJobEnded(plan.state)) return;
+    openOccurrences(plan, now);
+    plan.occurrences.forEach((occurrence) => {
+      occurrence.steps.forEach((step) => {
+        if (!isReady(occurrence, step)) return;
+        const unit = buildUnit(plan, occurrence, step, guaranteed.has(plan.id), now);
+        if (unit) units.push(unit);
+      });
+    });
+  });
+  return units.sort((a, b) => a.rank - b.rank);
+};
--- /dev/null
+++ b/src/control/placement/countSiblings.ts
@@ -0,0 +1,12 @@
+import type { Worker } from '../workers/Worker.js';
+import type { Unit } from './Unit.js';
+
+/** Counts the tasks of the unit's step that a worker has. */
+export const countSiblings = (unit: Unit, worker: Worker): number => {
+  const prefix = `${unit.plan.id}.${unit.occurrence.number}.${unit.step.index}.`;
+  let count = 0;
+  worker.tasks.forEach(({ name }) => {
+    if (name.startsWith(prefix)) count += 1;
+  });
+  return count;
+};
--- /dev/null
+++ b/src/control/placement/getFree.ts
@@ -0,0 +1,16 @@
+import type { Resources } from '../Resources.js';
+import type { Worker } from '../workers/Worker.js';
+import type { Pass } from './Pass.js';
+
+const nothing: Resources = { cpu: 0, memMb: 0, gpu: 0 };
+
+/** What is free at a worker and not kept for others. */
+export const getFree = (pass: Pass, worker: Worker): Resources => {
+  const capacity = worker.entry?.capacity ?? nothing;
+  const held = pass.held.get(worker.id) ?? nothing;
+  return {
+    cpu: capacity.cpu - worker.used.cpu - held.cpu,
+    memMb: capacity.memMb - worker.used.memMb - held.memMb,
+    gpu: capacity.gpu - worker.used.gpu - held.gpu,
+  };
+};
--- /dev/null
+++ b/src/control/placement/placeGang.ts
@@ -0,0 +1,26 @@
+import type { Worker } from '../workers/Worker.js';
+import { choosePlaces } from './choosePlaces.js';
+import { getFree } from './getFree.js';
+import { groupByRack } from './groupByRack.js';
+import type { Pass } from './Pass.js';
+import type { Unit } from './Unit.js';
+
+const countFreeGpu = (pass: Pass, workers: readonly Worker[]): number =>
+  workers.reduce((sum, worker) => sum + getFree(pass, worker).gpu, 0);
+
+/**
+ * Chooses a worker for each member of a gang: in one rack if one has room, the fullest first;
+ * otherwise anywhere, unless the gang is slow on several racks. Null when there is no room.
+ */
+export const placeGang = (pass: Pass, unit: Unit, workers: readonly Worker[]): Worker[] | null => {
+  const count = unit.tasks.length;
+  const inRacks = [...groupByRack(workers).values()]
+    .map((rack) => ({ places: choosePlaces(pass, unit, rack, count), rack }))
+    .filter(({ places }) => places.length === count)
+    .map(({ places, rack }) => ({ places, left: countFreeGpu(pass, rack) }))
+    .sort((a, b) => a.left - b.left);
+  if (inRacks[0]) return inRacks[0].places;
+  if (unit.step.step.sameRack) return null;
+  const places = choosePlaces(pass, unit, workers, count);
+  return places.length === count ? places : null;
+};
--- /dev/null
+++ b/src/control/placement/placeWaiting.ts
@@ -0,0 +1,44 @@
+import type { Effect } from '../Effect.js';
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import type { State } from '../State.js';
+import { isUsable } from '../workers/isUsable.js';
+import type { Worker } from '../workers/Worker.js';
+import { collectUnits } from './collectUnits.js';
+import { listCandidates } from './listCandidates.js';
+import { listGuaranteed } from './listGuaranteed.js';
+import type { Pass } from './Pass.js';
+import { placeGang } from './placeGang.js';
+import { placeSingles } from './placeSingles.js';
+import { reclaimRoom } from './reclaimRoom.js';
+import { reserveStart } from './reserveStart.js';
+import type { Unit } from './Unit.js';
+
+const openPass = (term: Term, now: Now): Pass => {
+  const workersByService = new Map<string, Worker[]>();
+  term.workers.forEach((worker) => {
+    if (!worker.entry || !isUsable(worker, now)) return;
+    const group = workersByService.get(worker.entry.service);
+    if (group) group.push(worker);
+    else workersByService.set(worker.entry.service, [worker]);
+  });
+  return { workersByService, held: new Map() };
+};
+
+const choose = (pass: Pass, unit: Unit, workers: readonly Worker[], now: Now): Worker[] =>
+  unit.step.step.gang
+    ? (placeGang(pass, unit, workers) ?? [])
+    : placeSingles(pass, unit, workers, now);
+
+/** Starts what waits and fits, and makes room for guarantees. */
+export const placeWaiting = (state: State, term: Term, now: Now): Effect[] => {
+  term.placementDue = false;
+  const guaranteed = listGuaranteed(state, term);
+  const pass = openPass(term, now);
+  return collectUnits(term, guaranteed, now).flatMap((unit) => {
+    const workers = listCandidates(pass, unit);
+    reserveStart(term, unit, choose(pass, unit, workers, now), now);
+    if (!unit.guaranteed || unit.tasks.length === 0) return [];
+    return reclaimRoom(term, pass, unit, guaranteed, workers, now);
+  });
+};
--- /dev/null
+++ b/src/control/plans/Task.ts
@@ -0,0 +1,31 @@
+import type { Resources } from '../Resources.js';
+import type { StopReason } from './StopReason.js';
+import type { TaskState } from './TaskState.js';
+
+/** One task of a job, as the lead sees it. */
+export interface Task {
+  /** Name at the workers: job, occurrence, step and index. */
+  name: string;
+  jobId: string;
+  occurrence: number;
+  step: number;
+  index: number;
+  need: Resources;
+  state: TaskState;
+  run: number;
+  failures: number;
+  checkpoint: string;
+  /** Worker of the present or last run, or empty. */
+  workerId: string;
+  /** Monotonic time at which the present state began. */
+  since: number;
+  /** Monotonic time at which the worker last confirmed the run or its stop. */
+  confirmedAt: number;
+  stopReason: StopReason | null;
+  /** Monotonic time of the last stop order, or null. */
+  stopSentAt: number | null;
+  /** Progress that the worker last listed. */
+  percent: number;
+  /** Monotonic time at which `percent` last changed. */
+  percentAt: number;
+}
--- /dev/null
+++ b/src/control/plans/addPlan.ts
@@ -0,0 +1,31 @@
+import type { Job } from '../jobs/Job.js';
+import type { State } from '../State.js';
+import type { JobPlan } from './JobPlan.js';
+import { isJobEnded } from './isJobEnded.js';
+
+// Used while the configuration that the job was accepted under is not known.
+const unknownQueue = { priority: 9, maxAttempts: 1, stretch: 1, targetMs: 0 };
+
+/** Adds the lead's plan of a job that has been submitted and has not ended. */
+export const addPlan = (state: State, job: Job): JobPlan | null => {
+  const { term } = state;
+  const { submission, progress } = job;
+  if (!term || !submission || term.plans.has(job.id)) return null;
+  if (progress && isJobEnded(progress.state)) return null;
+  const queue = state.config?.queues.find(({ name }) => name === submission.queue) ?? unknownQueue;
+  const plan: JobPlan = {
+    id: job.id,
+    submission,
+    state: progress?.state ?? 'queued',
+    endedAt: 0,
+    priority: queue.priority,
+    maxAttempts: Math.max(1, queue.maxAttempts),
+    stretch: queue.stretch,
+    targetMs: queue.targetMs,
+    occurrences: new Map(),
+    nextOccurrence: 0,
+  };
+  term.plans.set(job.id, plan);
+  term.placementDue = true;
+  return plan;
+};
--- /dev/null
+++ b/src/control/plans/buildProgress.ts
@@ -0,0 +1,60 @@
+import type { Progress } from '../jobs/Progress.js';
+import type { TaskProgress } from '../jobs/TaskProgress.js';
+import { isJobEnded } from './isJobEnded.js';
+import type { JobPlan } from './JobPlan.js';
+import type { OccurrencePlan } from './OccurrencePlan.js';
+import type { StepPlan } from './StepPlan.js';
+import type { Task } from './Task.js';
+
+const journalStates = {
+  waiting: 'waiting',
+  recording: 'started',
+  starting: 'started',
+  running: 'started',
+  stopping: 'started',
+  done: 'done',
+} as const;
+
+const buildTask = (step: StepPlan, task: Task): TaskProgress => ({
+  occurrence: task.occurrence,
+  step: task.step,
+  index: task.index,
+  state: step.remaining === 0 ? 'done' : journalStates[task.state],
+  run: task.run,
+  failures: step.step.gang ? step.failures : task.failures,
+  workerId: task.workerId,
+  checkpoint: step.step.gang ? step.checkpoint : task.checkpoint,
+});
+
+const listTasks = (occurrence: OccurrencePlan): TaskProgress[] =>
+  occurrence.steps.flatMap((step) =>
+    step.tasks.filter(({ run }) => run > 0).map((task) => buildTask(step, task)),
+  );
+
+/** An occurrence that is done is kept as its tasks' ends only. */
+const listDone = (plan: JobPlan): TaskProgress[] =>
+  Array.from({ length: plan.nextOccurrence }, (_, number) => number)
+    .filter((number) => !plan.occurrences.has(number))
+    .flatMap((occurrence) =>
+      plan.submission.definition.steps.flatMap((step, index) =>
+        Array.from({ length: step.gang ? 1 : step.count }, (_, taskIndex): TaskProgress => ({
+          occurrence,
+          step: index,
+          index: taskIndex,
+          state: 'done',
+          run: 1,
+          failures: 0,
+          workerId: '',
+          checkpoint: '',
+        })),
+      ),
+    );
+
+/** Builds the record of a job's progress; an ended job needs no tasks. */
+export const buildProgress = (plan: JobPlan): Progress => ({
+  state: plan.state,
+  endedAt: plan.endedAt,
+  tasks: isJobEnded(plan.state)
+    ? []
+    : [...listDone(plan), ...[...plan.occurrences.values()].flatMap(listTasks)],
+});
--- /dev/null
+++ b/src/control/plans/createOccurrence.ts
@@ -0,0 +1,31 @@
+import type { Submission } from '../jobs/Submission.js';
+import { createTask } from './createTask.js';
+import type { OccurrencePlan } from './OccurrencePlan.js';
+import type { StepPlan } from './StepPlan.js';
+
+/** Creates the plan of one occurrence of a job. */
+export const createOccurrence = (
+  submission: Submission,
+  number: number,
+  at: number,
+): OccurrencePlan => {
+  const { schedule, steps } = submission.definition;
+  const plans = steps.map((step, index): StepPlan => ({
+    index,
+    step,
+    tasks: Array.from({ length: step.count }, (_, taskIndex) =>
+      createTask(submission.id, { occurrence: number, step: index, index: taskIndex }, step, at),
+    ),
+    remaining: step.count,
+    checkpoint: '',
+    failures: 0,
+    failedRun: 0,
+    readySince: at,
+  }));
+  return {
+    number,
+    dueAt: schedule ? schedule.startAt + number * schedule.intervalMs : 0,
+    steps: plans,
+    remaining: plans.length,
+  };
+};
--- /dev/null
+++ b/src/control/plans/createTask.ts
@@ -0,0 +1,27 @@
+import type { Step } from '../jobs/Step.js';
+import type { Task } from './Task.js';
+
+/** Creates a task that was never started. */
+export const createTask = (
+  jobId: string,
+  place: { occurrence: number; step: number; index: number },
+  step: Step,
+  at: number,
+): Task => ({
+  ...place,
+  name: `${jobId}.${place.occurrence}.${place.step}.${place.index}`,
+  jobId,
+  // Work that fills takes only what others leave, so it is not counted.
+  need: step.fills ? { ...step.need, cpu: 0 } : step.need,
+  state: 'waiting',
+  run: 0,
+  failures: 0,
+  checkpoint: '',
+  workerId: '',
+  since: at,
+  confirmedAt: Number.NEGATIVE_INFINITY,
+  stopReason: null,
+  stopSentAt: null,
+  percent: 0,
+  percentAt: at,
+});
--- /dev/null
+++ b/src/control/plans/findTask.ts
@@ -0,0 +1,22 @@
+import type { Term } from '../lead/Term.js';
+import type { JobPlan } from './JobPlan.js';
+import type { OccurrencePlan } from './OccurrencePlan.js';
+import type { StepPlan } from './StepPlan.js';
+import type { Task } from './Task.js';
+
+interface TaskPlace {
+  plan: JobPlan;
+  occurrence: OccurrencePlan;
+  step: StepPlan;
+  task: Task;
+}
+
+/** Finds a task of an occurrence that is not done by its name at the workers. */
+export const findTask = (term: Term, name: string): TaskPlace | null => {
+  const [jobId = '', occurrenceText, stepText, indexText] = name.split('.');
+  const plan = term.plans.get(jobId);
+  const occurrence = plan?.occurrences.get(Number(occurrenceText));
+  const step = occurrence?.steps[Number(stepText)];
+  const task = step?.tasks[Number(indexText)];
+  return plan && occurrence && step && task ? { plan, occurrence, step, task } : null;
+};
--- /dev/null
+++ b/src/control/plans/finishPlan.ts
@@ -0,0 +1,32 @@
+import type { Effect } from '../Effect.js';
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import { stopPlan } from '../runs/stopPlan.js';
+import type { JobPlan } from './JobPlan.js';
+import { isJobEnded } from './isJobEnded.js';
+
+/** Gives a job its last state and stops what still runs of it. */
+export const finishPlan = (
+  term: Term,
+  plan: JobPlan,
+  outcome: 'completed' | 'failed' | 'cancelled',
+  now: Now,
+): Effect[] => {
+  if (isJobEnded(plan.state)) return [];
+  plan.state = outcome;
+  plan.endedAt = now.wall;
+  term.dirty.add(plan.id);
+  const fields = {
+    requestId: plan.id,
+    outcome,
+    queue: plan.submission.queue,
+    ageMs: Math.round(now.wall - plan.submission.acceptedAt),
+    token: term.token,
+  };
+  return [
+    { type: 'count', name: 'jobs_ended', reason: outcome },
+    { type: 'observe', name: 'job_age_ms', ms: Math.max(0, fields.ageMs) },
+    { type: 'log', level: 'info', code: 'job_ended', fields },
+    ...stopPlan(term, plan, outcome === 'cancelled' ? 'cancelled' : 'job-ended', now),
+  ];
+};
--- /dev/null
+++ b/src/control/progress/buildLeadRecord.ts
@@ -0,0 +1,11 @@
+import type { JournalRecord } from '../journal/JournalRecord.js';
+import type { Term } from '../lead/Term.js';
+import type { State } from '../State.js';
+
+/** Builds the record by which the others see that this VM leads. */
+export const buildLeadRecord = (state: State, term: Term): JournalRecord => ({
+  type: 'lead',
+  token: term.token,
+  vmId: state.self.vmId,
+  resigned: state.shutdownAt !== null,
+});
--- /dev/null
+++ b/src/control/progress/failWrite.ts
@@ -0,0 +1,24 @@
+import type { Effect } from '../Effect.js';
+import { endTerm } from '../lead/endTerm.js';
+import type { Now } from '../Now.js';
+import type { State } from '../State.js';
+import type { AppendFailure } from '../streams/AppendFailure.js';
+import type { PendingWrite } from './PendingWrite.js';
+
+// A store that refuses or is silent is asked again soon; the append stays the same.
+const retryMs = 150;
+
+const deposing: readonly AppendFailure[] = ['fenced', 'sequence', 'conflict', 'invalid'];
+
+/** Repeats an append later, or ends the term when another VM has appended with a higher token. */
+export const failWrite = (
+  state: State,
+  write: PendingWrite,
+  reason: AppendFailure,
+  now: Now,
+): Effect[] => {
+  const count: Effect = { type: 'count', name: 'journal_write_failures', reason };
+  if (deposing.includes(reason)) return [count, ...endTerm(state, 'journal-fenced', now)];
+  write.retryAt = now.at + retryMs;
+  return [count];
+};
--- /dev/null
+++ b/src/control/reduce.ts
@@ -0,0 +1,20 @@
+import type { Effect } from './Effect.js';
+import type { Event } from './Event.js';
+import { featureTables } from './featureTables.js';
+import { advanceTerm } from './lead/advanceTerm.js';
+import type { State } from './State.js';
+
+type AnyHandler = (state: State, event: Event) => Effect[];
+
+/**
+ * Decides on one event: updates the state in place and returns the effects for the adapters. The
+ * lead acts once after all features have seen the event.
+ */
+export const reduce = (state: State, event: Event): Effect[] => {
+  const effects = featureTables.flatMap((table) => {
+    // The table's type ties each handler to its event type; the look-up erases that tie.
+    const handler = table[event.type] as AnyHandler | undefined;
+    return handler ? handler(state, event) : [];
+  });
+  return [...effects, ...advanceTerm(state, event)];
+};
--- /dev/null
+++ b/src/control/runs/noteDone.ts
@@ -0,0 +1,46 @@
+import type { Effect } from '../Effect.js';
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import { findTask } from '../plans/findTask.js';
+import { finishPlan } from '../plans/finishPlan.js';
+import type { JobPlan } from '../plans/JobPlan.js';
+import { noteTaskDone } from '../plans/noteTaskDone.js';
+import type { Task } from '../plans/Task.js';
+import { freeTask } from '../workers/freeTask.js';
+import type { Worker } from '../workers/Worker.js';
+import { requeueTask } from './requeueTask.js';
+import { stopTask } from './stopTask.js';
+
+const isPlanDone = (plan: JobPlan): boolean =>
+  plan.occurrences.size === 0 &&
+  plan.nextOccurrence >= (plan.submission.definition.schedule?.count ?? 1);
+
+/** Takes note that a task is done, at this worker or, in an earlier run, at another. */
+export const noteDone = (term: Term, worker: Worker, task: Task, now: Now): Effect[] => {
+  const place = findTask(term, task.name);
+  if (place?.step.step.longRunning) return requeueTask(term, task, 'done', now);
+  const effects: Effect[] = [];
+  if (task.workerId === worker.id) freeTask(worker, task);
+  else effects.push(...stopTask(term, task, 'job-ended', now));
+  worker.failedJobs.clear();
+  worker.timesAside = 0;
+  term.placementDue = true;
+  const fields = { requestId: task.jobId, task: task.name, run: task.run, worker: worker.id };
+  effects.push(
+    { type: 'count', name: 'runs_ended', reason: 'done' },
+    {
+      type: 'log',
+      level: 'info',
+      code: 'task_done',
+      fields: { ...fields, ranMs: Math.round(now.at - task.since) },
+    },
+  );
+  if (!place) {
+    task.state = 'done';
+    return effects;
+  }
+  noteTaskDone(place.plan, place.occurrence, place.step, task);
+  term.dirty.add(task.jobId);
+  if (isPlanDone(place.plan)) effects.push(...finishPlan(term, place.plan, 'completed', now));
+  return effects;
+};
--- /dev/null
+++ b/src/control/runs/noteFailure.ts
@@ -0,0 +1,36 @@
+import type { Effect } from '../Effect.js';
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import { findTask } from '../plans/findTask.js';
+import { finishPlan } from '../plans/finishPlan.js';
+import type { StepPlan } from '../plans/StepPlan.js';
+import type { Task } from '../plans/Task.js';
+import { noteWorkerFailure } from '../workers/noteWorkerFailure.js';
+import type { Worker } from '../workers/Worker.js';
+import { requeueTask } from './requeueTask.js';
+
+/** Counts a failed run; a gang's run counts once, whichever members failed. */
+const countFailure = (step: StepPlan, task: Task): number => {
+  if (!step.step.gang) {
+    task.failures += 1;
+    return task.failures;
+  }
+  if (step.failedRun !== task.run) {
+    step.failedRun = task.run;
+    step.failures += 1;
+  }
+  return step.failures;
+};
+
+/** Takes note that a run failed, through its own fault or the worker's. */
+export const noteFailure = (term: Term, worker: Worker, task: Task, now: Now): Effect[] => {
+  const place = findTask(term, task.name);
+  const failures = place ? countFailure(place.step, task) : 0;
+  const effects: Effect[] = [
+    { type: 'count', name: 'runs_ended', reason: 'failed' },
+    ...noteWorkerFailure(worker, task.jobId, now),
+    ...requeueTask(term, task, 'failed', now),
+  ];
+  if (!place || place.step.step.longRunning || failures < place.plan.maxAttempts) return effects;
+  return [...effects, ...finishPlan(term, place.plan, 'failed', now)];
+};
--- /dev/null
+++ b/src/control/runs/retryOrders.ts
@@ -0,0 +1,34 @@
+import type { Effect } from '../Effect.js';
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import type { State } from '../State.js';
+import type { Task } from '../plans/Task.js';
+import { isLeaseOver } from '../workers/isLeaseOver.js';
+import type { Worker } from '../workers/Worker.js';
+import { requeueTask } from './requeueTask.js';
+import { sendStop } from './sendStop.js';
+
+// Beyond the time that a worker takes to answer a stop.
+const stopRetryMs = 1000;
+
+const isStopUnanswered = (task: Task, now: Now): boolean =>
+  task.state === 'stopping' &&
+  task.confirmedAt === Number.POSITIVE_INFINITY &&
+  task.stopSentAt !== null &&
+  now.at - task.stopSentAt > stopRetryMs;
+
+const checkWorker = (state: State, term: Term, worker: Worker, now: Now): Effect[] => {
+  const tasks = [...worker.tasks.values()];
+  if (isLeaseOver(state, term, worker, now)) {
+    return tasks
+      .filter(({ state: taskState }) => taskState !== 'recording')
+      .flatMap((task) => requeueTask(term, task, 'lease-over', now));
+  }
+  return tasks
+    .filter((task) => isStopUnanswered(task, now))
+    .flatMap((task) => sendStop(term, worker, task, now));
+};
+
+/** Repeats stops without an answer, and gives up runs whose lease must have lapsed. */
+export const retryOrders = (state: State, term: Term, now: Now): Effect[] =>
+  [...term.workers.values()].flatMap((worker) => checkWorker(state, term, worker, now));
--- /dev/null
+++ b/src/control/runs/sendStart.ts
@@ -0,0 +1,56 @@
+import type { Effect } from '../Effect.js';
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import { findTask } from '../plans/findTask.js';
+import type { Task } from '../plans/Task.js';
+import { estimateClock } from '../workers/estimateClock.js';
+import { isUsable } from '../workers/isUsable.js';
+import { orderTimeoutMs } from './orderTimeoutMs.js';
+import { requeueTask } from './requeueTask.js';
+
+// A start that is carried out later than this is refused by the worker.
+const startValidMs = 2500;
+
+/** Orders a worker to start a task whose start is written down. */
+export const sendStart = (term: Term, task: Task, now: Now): Effect[] => {
+  const place = findTask(term, task.name);
+  const worker = term.workers.get(task.workerId);
+  if (!place || !worker) return requeueTask(term, task, 'job-ended', now);
+  const clock = estimateClock(worker, now);
+  if (clock === null || !isUsable(worker, now)) {
+    return requeueTask(term, task, 'worker-unusable', now);
+  }
+  const until = clock + startValidMs;
+  worker.leaseUntil = Math.max(worker.leaseUntil, until);
+  task.state = 'starting';
+  task.since = now.at;
+  task.confirmedAt = Number.POSITIVE_INFINITY;
+  const checkpoint = place.step.step.gang ? place.step.checkpoint : task.checkpoint;
+  const fields = {
+    requestId: task.jobId,
+    task: task.name,
+    run: task.run,
+    worker: worker.id,
+    heardMs: Math.round(now.at - worker.lastListedAt),
+    resumed: checkpoint !== '',
+    token: term.token,
+  };
+  return [
+    { type: 'log', level: 'info', code: 'run_starting', fields },
+    {
+      type: 'callWorker',
+      workerId: worker.id,
+      address: worker.address,
+      token: term.token,
+      call: {
+        type: 'start',
+        task: task.name,
+        run: task.run,
+        spec: place.plan.submission.definition.spec,
+        until,
+        checkpoint,
+      },
+      timeoutMs: orderTimeoutMs,
+    },
+  ];
+};
--- /dev/null
+++ b/src/control/streams/StreamEffect.ts
@@ -0,0 +1,30 @@
+import type { ClaimRecord } from '../journal/ClaimRecord.js';
+import type { JournalRecord } from '../journal/JournalRecord.js';
+import type { AppendCondition } from './AppendCondition.js';
+import type { StreamName } from './StreamName.js';
+
+/** Calls to the store. */
+export type StreamEffect =
+  | {
+      type: 'readStream';
+      stream: StreamName;
+      readId: number;
+      from: number;
+      waitMs: number;
+      timeoutMs: number;
+    }
+  | {
+      type: 'readPage';
+      stream: StreamName;
+      readId: number;
+      after: string | null;
+      timeoutMs: number;
+    }
+  | {
+      type: 'append';
+      appendId: number;
+      stream: 'journal' | 'claims';
+      records: (JournalRecord | ClaimRecord)[];
+      condition: AppendCondition;
+      timeoutMs: number;
+    };
--- /dev/null
+++ b/src/control/streams/StreamEvent.ts
@@ -0,0 +1,28 @@
+import type { AppendFailure } from './AppendFailure.js';
+import type { ReadFailure } from './ReadFailure.js';
+import type { StreamName } from './StreamName.js';
+import type { StreamRecord } from './StreamRecord.js';
+
+/** Answers of the store. */
+export type StreamEvent =
+  | {
+      type: 'streamRead';
+      stream: StreamName;
+      readId: number;
+      records: StreamRecord[];
+      /** Offset of the next read. */
+      next: number;
+      end: number;
+    }
+  | {
+      type: 'pageRead';
+      stream: StreamName;
+      readId: number;
+      records: StreamRecord[];
+      /** Key after which the next page begins, or null after the last page. */
+      after: string | null;
+      end: number;
+    }
+  | { type: 'readFailed'; stream: StreamName; readId: number; reason: ReadFailure }
+  | { type: 'appended'; appendId: number; offset: number; end: number }
+  | { type: 'appendFailed'; appendId: number; reason: AppendFailure; end: number };
--- /dev/null
+++ b/src/control/workers/ListedEnd.ts
@@ -0,0 +1,11 @@
+import type { EndKind } from './EndKind.js';
+
+/** A run that a worker lists as ended. */
+export interface ListedEnd {
+  /** Counts the ends of one life of the worker, from 1. */
+  number: number;
+  task: string;
+  run: number;
+  kind: EndKind;
+  checkpoint: string;
+}
--- /dev/null
+++ b/src/control/workers/StartRefusal.ts
@@ -0,0 +1,10 @@
+/** Why a worker did not carry out an order. */
+export type StartRefusal =
+  | 'fenced'
+  | 'old-run'
+  | 'late'
+  | 'no-room'
+  | 'no-ticket'
+  | 'other-instance'
+  | 'invalid'
+  | 'unhealthy';
--- /dev/null
+++ b/src/control/workers/applyListing.ts
@@ -0,0 +1,107 @@
+import type { Effect } from '../Effect.js';
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import type { Task } from '../plans/Task.js';
+import { applyEnd } from '../runs/applyEnd.js';
+import { orderTimeoutMs } from '../runs/orderTimeoutMs.js';
+import { requeueTask } from '../runs/requeueTask.js';
+import { sendStop } from '../runs/sendStop.js';
+import type { ListedRun } from './ListedRun.js';
+import { noteRebirth } from './noteRebirth.js';
+import type { Worker } from './Worker.js';
+import type { WorkerAnswer } from './WorkerAnswer.js';
+
+type Listing = Extract<WorkerAnswer, { type: 'listing' }>;
+
+const confirmTask = (
+  term: Term,
+  worker: Worker,
+  task: Task,
+  listed: ListedRun,
+  now: Now,
+): Effect[] => {
+  if (listed.checkpoint !== '') task.checkpoint = listed.checkpoint;
+  if (listed.percent !== task.percent) {
+    task.percent = listed.percent;
+    task.percentAt = now.at;
+  }
+  if (task.state === 'starting') {
+    task.state = 'running';
+    task.since = now.at;
+  }
+  if (task.state === 'running') task.confirmedAt = now.at;
+  return task.state === 'done' ? sendStop(term, worker, task, now) : [];
+};
+
+const stopStranger = (term: Term, worker: Worker, listed: ListedRun): Effect[] => {
+  worker.strangers.set(listed.task, listed.run);
+  const fields = { task: listed.task, run: listed.run, worker: worker.id };
+  return [
+    { type: 'count', name: 'stops', reason: 'unknown-run' },
+    { type: 'log', level: 'warn', code: 'unknown_run', fields },
+    {
+      type: 'callWorker',
+      workerId: worker.id,
+      address: worker.address,
+      token: term.token,
+      call: { type: 'stop', task: listed.task, run: listed.run },
+      timeoutMs: orderTimeoutMs,
+    },
+  ];
+};
+
+const applyRunning = (term: Term, worker: Worker, listing: Listing, now: Now): Effect[] => {
+  worker.strangers.clear();
+  return listing.running.flatMap((listed) => {
+    const task = worker.tasks.get(listed.task);
+    if (task?.run === listed.run) return confirmTask(term, worker, task, listed, now);
+    return stopStranger(term, worker, listed);
+  });
+};
+
+/** A run that the worker confirmed before it was asked, and lists no more, is over. */
+const dropUnlisted = (
+  term: Term,
+  worker: Worker,
+  listing: Listing,
+  sentAt: number,
+  now: Now,
+): Effect[] => {
+  const listed = new Set(listing.running.map(({ task, run }) => `${task}/${run}`));
+  return [...worker.tasks.values()]
+    .filter((task) => task.confirmedAt < sentAt && !listed.has(`${task.name}/${task.run}`))
+    .flatMap((task) => requeueTask(term, task, 'not-listed', now));
+};
+
+/** Takes over what a worker says that runs and that ended. */
+export const applyListing = (
+  term: Term,
+  worker: Worker,
+  listing: Listing,
+  sentAt: number,
+  maxLeaseMs: number,
+  now: Now,
+): Effect[] => {
+  const effects: Effect[] = [];
+  if (worker.born !== 0 && listing.born > worker.born) {
+    effects.push(...noteRebirth(term, worker, listing.born, listing.running, now));
+  }
+  // An answer of a former life tells nothing about the present one.
+  if (listing.born < worker.born) return effects;
+  worker.born = listing.born;
+  // Whoever renewed before, no lease lasts longer than this.
+  if (!worker.clock) worker.leaseUntil = Math.max(worker.leaseUntil, listing.clock + maxLeaseMs);
+  worker.clock = { value: listing.clock, at: now.at };
+  if (worker.failures > 0 || worker.lastListedAt < sentAt - maxLeaseMs) term.placementDue = true;
+  worker.failures = 0;
+  worker.lastListedAt = now.at;
+  listing.ended
+    .filter(({ number }) => number > worker.lastEnd)
+    .forEach((end) => {
+      worker.lastEnd = end.number;
+      effects.push(...applyEnd(term, worker, end, now));
+    });
+  effects.push(...applyRunning(term, worker, listing, now));
+  effects.push(...dropUnlisted(term, worker, listing, sentAt, now));
+  return effects;
+};
--- /dev/null
+++ b/src/control/workers/applyWorkerRecord.ts
@@ -0,0 +1,36 @@
+import type { Effect } from '../Effect.js';
+import type { Now } from '../Now.js';
+import type { State } from '../State.js';
+import { getWorker } from './getWorker.js';
+import { noteRebirth } from './noteRebirth.js';
+import type { WorkerEntry } from './WorkerEntry.js';
+
+/** Takes over a change in the registry; only the lead follows it. */
+export const applyWorkerRecord = (
+  state: State,
+  id: string,
+  entry: WorkerEntry | null,
+  now: Now,
+): Effect[] => {
+  const { term } = state;
+  if (!term) return [];
+  const worker = getWorker(term, id, now);
+  const before = worker.entry;
+  worker.entry = entry;
+  if (!entry) {
+    if (!before) return [];
+    const fields = { worker: id, tasks: worker.tasks.size };
+    return [{ type: 'log', level: 'info', code: 'worker_gone', fields }];
+  }
+  worker.address = entry.address;
+  const effects: Effect[] = [];
+  if (before?.state !== entry.state || before.born !== entry.born) {
+    term.placementDue = true;
+    const fields = { worker: id, state: entry.state, born: entry.born, zone: entry.zone };
+    effects.push({ type: 'log', level: 'info', code: 'worker_listed', fields });
+  }
+  if (worker.born !== 0 && entry.born > worker.born) {
+    effects.push(...noteRebirth(term, worker, entry.born, [], now));
+  }
+  return effects;
+};
--- /dev/null
+++ b/src/control/workers/getWorker.ts
@@ -0,0 +1,33 @@
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import type { Worker } from './Worker.js';
+
+const createWorker = (id: string, now: Now): Worker => ({
+  id,
+  entry: null,
+  address: '',
+  born: 0,
+  clock: null,
+  leaseUntil: 0,
+  lastListedAt: Number.NEGATIVE_INFINITY,
+  holdSentAt: null,
+  nextHoldAt: now.at,
+  failures: 0,
+  lastSeen: 0,
+  lastEnd: 0,
+  tasks: new Map(),
+  used: { cpu: 0, memMb: 0, gpu: 0 },
+  strangers: new Map(),
+  failedJobs: new Map(),
+  asideUntil: Number.NEGATIVE_INFINITY,
+  timesAside: 0,
+});
+
+/** Finds a worker, or adds one that has not answered yet. */
+export const getWorker = (term: Term, id: string, now: Now): Worker => {
+  const known = term.workers.get(id);
+  if (known) return known;
+  const worker = createWorker(id, now);
+  term.workers.set(id, worker);
+  return worker;
+};
--- /dev/null
+++ b/src/control/workers/handleStartAnswer.ts
@@ -0,0 +1,23 @@
+import { noteRefusedStart } from '../runs/noteRefusedStart.js';
+import { stopTask } from '../runs/stopTask.js';
+import type { AnswerHandler } from './AnswerHandler.js';
+
+/** Takes over the answer to a start. */
+export const handleStartAnswer: AnswerHandler = (_state, term, worker, event) => {
+  const { answer, call } = event;
+  if (call.type !== 'start') return [];
+  const task = worker.tasks.get(call.task);
+  if (task?.run !== call.run || task.state !== 'starting') return [];
+  if (answer.type === 'done') {
+    task.state = 'running';
+    task.since = event.at;
+    task.percentAt = event.at;
+    task.confirmedAt = event.at;
+    return [
+      { type: 'observe', name: 'start_order_ms', ms: event.at - event.sentAt },
+      { type: 'count', name: 'runs_started', reason: 'ok' },
+    ];
+  }
+  if (answer.type === 'refused') return noteRefusedStart(term, worker, task, answer.reason, event);
+  return stopTask(term, task, 'start-unanswered', event);
+};
--- /dev/null
+++ b/src/control/workers/noteRebirth.ts
@@ -0,0 +1,50 @@
+import type { Effect } from '../Effect.js';
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import type { Task } from '../plans/Task.js';
+import { requeueTask } from '../runs/requeueTask.js';
+import { sendStop } from '../runs/sendStop.js';
+import { stopTask } from '../runs/stopTask.js';
+import type { ListedRun } from './ListedRun.js';
+import type { Worker } from './Worker.js';
+
+const settleTask = (
+  term: Term,
+  worker: Worker,
+  task: Task,
+  running: readonly ListedRun[],
+  now: Now,
+): Effect[] => {
+  if (running.some((run) => run.task === task.name && run.run === task.run)) return [];
+  if (task.state === 'recording') return [];
+  // A start that is under way may reach the new life; only a stop rules it out.
+  if (task.state === 'starting') return stopTask(term, task, 'start-unanswered', now);
+  if (task.state === 'stopping' && task.stopReason === 'start-unanswered') {
+    return sendStop(term, worker, task, now);
+  }
+  return requeueTask(term, task, 'worker-restarted', now);
+};
+
+/** Takes note that a worker started anew: what ran in its former life is gone. */
+export const noteRebirth = (
+  term: Term,
+  worker: Worker,
+  born: number,
+  running: readonly ListedRun[],
+  now: Now,
+): Effect[] => {
+  const fields = { worker: worker.id, born, formerly: worker.born, tasks: worker.tasks.size };
+  worker.born = born;
+  worker.lastSeen = 0;
+  worker.lastEnd = 0;
+  worker.clock = null;
+  worker.leaseUntil = 0;
+  worker.strangers.clear();
+  worker.failedJobs.clear();
+  worker.nextHoldAt = now.at;
+  term.placementDue = true;
+  return [
+    { type: 'log', level: 'info', code: 'worker_restarted', fields },
+    ...[...worker.tasks.values()].flatMap((task) => settleTask(term, worker, task, running, now)),
+  ];
+};
--- /dev/null
+++ b/src/control/workers/sendHold.ts
@@ -0,0 +1,30 @@
+import type { Effect } from '../Effect.js';
+import type { Now } from '../Now.js';
+import type { State } from '../State.js';
+import type { Term } from '../lead/Term.js';
+import { estimateClock } from './estimateClock.js';
+import type { Worker } from './Worker.js';
+
+// A look shows ends at once; the wait bounds how often an idle worker is asked.
+const holdWaitMs = 1500;
+const answerTimeoutMs = 900;
+
+/** Asks a worker what runs and what ended, and renews its lease. */
+export const sendHold = (state: State, term: Term, worker: Worker, now: Now): Effect[] => {
+  const clock = estimateClock(worker, now);
+  const until = clock === null ? null : clock + state.bounds.maxLeaseMs;
+  if (until !== null) worker.leaseUntil = Math.max(worker.leaseUntil, until);
+  worker.holdSentAt = now.at;
+  // The first answer tells the clock, and unwritten ends are known already: neither may wait.
+  const waitMs = clock === null || worker.lastEnd > worker.lastSeen ? 0 : holdWaitMs;
+  return [
+    {
+      type: 'callWorker',
+      workerId: worker.id,
+      address: worker.address,
+      token: term.token,
+      call: { type: 'hold', until, lastSeen: worker.lastSeen, waitMs },
+      timeoutMs: waitMs + answerTimeoutMs,
+    },
+  ];
+};
--- /dev/null
+++ b/src/control/workers/workersHandlers.ts
@@ -0,0 +1,29 @@
+import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
+import type { HandlerTable } from '../HandlerTable.js';
+import { endTerm } from '../lead/endTerm.js';
+import type { State } from '../State.js';
+import type { AnswerHandler } from './AnswerHandler.js';
+import { handleHoldAnswer } from './handleHoldAnswer.js';
+import { handleStartAnswer } from './handleStartAnswer.js';
+import { handleStopAnswer } from './handleStopAnswer.js';
+import type { WorkerCall } from './WorkerCall.js';
+
+const answerHandlers: Record<WorkerCall['type'], AnswerHandler> = {
+  hold: handleHoldAnswer,
+  start: handleStartAnswer,
+  stop: handleStopAnswer,
+};
+
+const handleAnswer = (state: State, event: EventOf<'workerAnswered'>): Effect[] => {
+  const { term } = state;
+  if (!term || event.token !== term.token) return [];
+  if (event.answer.type === 'refused' && event.answer.reason === 'fenced') {
+    return endTerm(state, 'worker-fenced', event);
+  }
+  const worker = term.workers.get(event.workerId);
+  return worker ? answerHandlers[event.call.type](state, term, worker, event) : [];
+};
+
+/** Takes over what workers answer. */
+export const workersHandlers: HandlerTable = { workerAnswered: handleAnswer };
--- a/tools/check-shape.js
+++ b/tools/check-shape.js
@@ -21,14 +21,17 @@
     )
     .filter((file) => file.endsWith('.ts'));
 
+const coreFolders = ['src/core/', 'src/control/'];
+
 const checkImports = (file, text) => {
-  if (!file.startsWith('src/core/')) return;
+  const core = coreFolders.find((folder) => file.startsWith(folder));
+  if (!core) return;
   [...text.matchAll(/from '([^']+)'/g)].forEach(([, target]) => {
     const resolved = target.startsWith('.')
       ? path.join(path.dirname(file), target)
       : `package ${target}`;
     const allowed =
-      resolved.startsWith('src/core/') || ['package zod', 'package neverthrow'].includes(resolved);
+      resolved.startsWith(core) || ['package zod', 'package neverthrow'].includes(resolved);
     if (!allowed) findings.push(`${file}: core imports ${target}`);
   });
   if (
@@ -77,7 +80,7 @@
   }
 };
 
-[...listFiles('src'), ...listFiles('standins')].forEach((file) => {
+[...listFiles('src'), ...listFiles('platform'), ...listFiles('standins')].forEach((file) => {
   const text = fs.readFileSync(file, 'utf8');
   checkImports(file, text);
   checkExports(file, text);
@@ -89,6 +92,12 @@
   .filter((file) => file.endsWith('.test.ts'))
   .forEach((file) => checkTests(file, fs.readFileSync(file, 'utf8')));
 
+// The platform's own names stay in its adapter.
+const platformNames = /\/-\/(?:log-|run-|hold)|X-Fencing-Token|until_ms|last_seen/i;
+listFiles('src')
+  .filter((file) => platformNames.test(fs.readFileSync(file, 'utf8')))
+  .forEach((file) => findings.push(`${file}: a name of the platform outside platform/`));
+
 findings.forEach((finding) => process.stderr.write(`${finding}\n`));
 process.stdout.write(`shape check: ${findings.length} findings\n`);
 process.exit(findings.length === 0 ? 0 : 1);
