--- a/src/control/lead/Term.ts
+++ b/src/control/lead/Term.ts
@@ -25,6 +25,8 @@
   write: PendingWrite | null;
   /** Monotonic time of the last append to the journal. */
   lastWriteAt: number;
+  /** Recent peak of the accelerators that urgent work needs, and when it was noted. */
+  urgentDemand: { gpu: number; at: number };
   /** Something changed that may allow a placement. */
   placementDue: boolean;
 }
--- a/src/control/lead/beginTerm.ts
+++ b/src/control/lead/beginTerm.ts
@@ -22,6 +22,7 @@
     dirty: new Set(),
     write: null,
     lastWriteAt: now.at,
+    urgentDemand: { gpu: 0, at: now.at },
     placementDue: false,
   };
   state.term = term;
--- a/src/control/placement/Pass.ts
+++ b/src/control/placement/Pass.ts
@@ -7,4 +7,6 @@
   workersByService: Map<string, Worker[]>;
   /** Room that is kept for guaranteed tasks whose victims are stopping, by worker. */
   held: Map<string, Resources>;
+  /** Fast workers that are kept for urgent work, and for what can be stopped without loss. */
+  kept: Set<string>;
 }
--- a/src/control/placement/choosePlaces.ts
+++ b/src/control/placement/choosePlaces.ts
@@ -26,9 +26,25 @@
   };
 };
 
+const compareRoom = (a: Room, b: Room): number => a.freeGpu - b.freeGpu || a.freeCpu - b.freeCpu;
+
+// Workers whose speeds differ by less than this factor's logarithm count as equally fast.
+const speedStep = 0.25;
+
+const rankSpeed = ({ worker }: Room): number => Math.round(worker.slowness / speedStep);
+
+/** Urgent work goes to the fastest, then to the fullest. */
+const compareSpeed = (a: Room, b: Room): number => rankSpeed(a) - rankSpeed(b) || compareRoom(a, b);
+
+/** Other work goes to the fullest, and last to what is kept for urgent work. */
+const compareFill =
+  ({ kept }: Pass) =>
+  (a: Room, b: Room): number =>
+    Number(kept.has(a.worker.id)) - Number(kept.has(b.worker.id)) || compareRoom(a, b);
+
 /**
- * Chooses workers for a number of the unit's tasks, the fullest that fits first, so that whole
- * workers stay free for wide tasks. Returns fewer when there is no more room.
+ * Chooses workers for a number of the unit's tasks, urgent ones on the fastest, others
+ * on the fullest that fits, so that whole workers stay free for wide tasks. Returns fewer when there is no more room.
  */
 export const choosePlaces = (
   pass: Pass,
@@ -39,7 +55,7 @@
   const task = unit.tasks[0]!;
   const { maxPerWorker } = unit.step.step;
   const rooms = workers.map((worker) => openRoom(pass, unit, worker));
-  rooms.sort((a, b) => a.freeGpu - b.freeGpu || a.freeCpu - b.freeCpu);
+  rooms.sort(unit.plan.priority === 0 ? compareSpeed : compareFill(pass));
   const chosen: Worker[] = [];
   rooms.forEach((room) => {
     let free = { cpu: room.freeCpu, memMb: room.freeMemMb, gpu: room.freeGpu };
--- a/src/control/placement/computeLoss.ts
+++ b/src/control/placement/computeLoss.ts
@@ -1,9 +1,8 @@
 import type { Now } from '../Now.js';
 import type { StepPlan } from '../plans/StepPlan.js';
 import type { Task } from '../plans/Task.js';
+import { coresPerGpu } from './coresPerGpu.js';
 
-// What one accelerator counts for, in cores.
-const coresPerGpu = 8;
 // Work that saves its state loses this much on average when it is stopped: it saves at a stop.
 const savedLossMs = 600;
 
--- /dev/null
+++ b/src/control/placement/keepForUrgent.ts
@@ -0,0 +1,51 @@
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
+import { isJobEnded } from '../plans/isJobEnded.js';
+import type { Worker } from '../workers/Worker.js';
+
+// A peak of urgent work is expected again for about this long.
+const memoryMs = 12_000;
+// Urgent work comes in bursts above its recent peak.
+const headroom = 1.25;
+// Part of all accelerators that is kept at most; the rest serves everyone.
+const mostKept = 0.4;
+
+const countDemand = (term: Term): number => {
+  let gpu = 0;
+  term.plans.forEach((plan) => {
+    if (plan.priority !== 0 || isJobEnded(plan.state)) return;
+    plan.occurrences.forEach(({ steps }) =>
+      steps.forEach(({ tasks, step, remaining }) => {
+        if (remaining > 0 && step.after.length === 0) gpu += tasks.length * step.need.gpu;
+      }),
+    );
+  });
+  return gpu;
+};
+
+const noteDemand = (term: Term, now: Now): number => {
+  const faded = term.urgentDemand.gpu * Math.exp((term.urgentDemand.at - now.at) / memoryMs);
+  term.urgentDemand = { gpu: Math.max(faded, countDemand(term)), at: now.at };
+  return term.urgentDemand.gpu;
+};
+
+const countGpu = (workers: readonly Worker[]): number =>
+  workers.reduce((sum, { entry }) => sum + (entry?.capacity.gpu ?? 0), 0);
+
+/** Chooses the fastest workers to be kept for urgent work, as many as its recent peak needs. */
+export const keepForUrgent = (
+  term: Term,
+  workersByService: Map<string, Worker[]>,
+  now: Now,
+): Set<string> => {
+  const workers = [...workersByService.values()].flat();
+  let left = Math.min(noteDemand(term, now) * headroom, countGpu(workers) * mostKept);
+  const kept = new Set<string>();
+  workers.sort((a, b) => a.slowness - b.slowness);
+  for (const worker of workers) {
+    if (left <= 0) break;
+    left -= worker.entry?.capacity.gpu ?? 0;
+    kept.add(worker.id);
+  }
+  return kept;
+};
--- a/src/control/placement/listCandidates.ts
+++ b/src/control/placement/listCandidates.ts
@@ -2,10 +2,18 @@
 import type { Pass } from './Pass.js';
 import type { Unit } from './Unit.js';
 
-/** Workers on which the unit may run by service, label and whole capacity. */
+/** Work that saves its state may use what is kept: it is stopped at little loss. */
+const mayUseKept = (unit: Unit): boolean =>
+  unit.plan.priority === 0 || unit.step.step.checkpointing;
+
+/** Workers on which the unit may run by service, label and what is kept for urgent work. */
 export const listCandidates = (pass: Pass, unit: Unit): Worker[] => {
   const { requiredLabel } = unit.step.step;
   const workers = pass.workersByService.get(unit.plan.submission.service) ?? [];
-  if (requiredLabel === '') return workers;
-  return workers.filter(({ entry }) => entry?.labels.includes(requiredLabel));
+  const all = mayUseKept(unit);
+  return workers.filter(
+    ({ id, entry }) =>
+      (all || !pass.kept.has(id)) &&
+      (requiredLabel === '' || entry?.labels.includes(requiredLabel) === true),
+  );
 };
--- a/src/control/placement/listVictims.ts
+++ b/src/control/placement/listVictims.ts
@@ -9,10 +9,13 @@
 interface Victim {
   task: Task;
   step: StepPlan;
-  /** Core-milliseconds lost per accelerator that becomes free. */
-  lossPerGpu: number;
+  /** Core-milliseconds that are thrown away. */
+  loss: number;
 }
 
+/** Loss per accelerator that becomes free. */
+const computeDensity = ({ task, loss }: Victim): number => loss / Math.max(1, task.need.gpu);
+
 /** Lists the runs of a worker that may be stopped for a guarantee, the cheapest first. */
 export const listVictims = (
   term: Term,
@@ -28,6 +31,6 @@
       const place = findTask(term, task.name);
       if (!place) return [];
       const loss = computeLoss(place.step, task, now);
-      return [{ task, step: place.step, lossPerGpu: loss / Math.max(1, task.need.gpu) }];
+      return [{ task, step: place.step, loss }];
     })
-    .sort((a, b) => a.lossPerGpu - b.lossPerGpu);
+    .sort((a, b) => computeDensity(a) - computeDensity(b));
--- a/src/control/placement/placeWaiting.ts
+++ b/src/control/placement/placeWaiting.ts
@@ -5,6 +5,7 @@
 import { isUsable } from '../workers/isUsable.js';
 import type { Worker } from '../workers/Worker.js';
 import { collectUnits } from './collectUnits.js';
+import { keepForUrgent } from './keepForUrgent.js';
 import { listCandidates } from './listCandidates.js';
 import { listGuaranteed } from './listGuaranteed.js';
 import type { Pass } from './Pass.js';
@@ -22,12 +23,12 @@
     if (group) group.push(worker);
     else workersByService.set(worker.entry.service, [worker]);
   });
-  return { workersByService, held: new Map() };
+  return { workersByService, held: new Map(), kept: keepForUrgent(term, workersByService, now) };
 };
 
 const choose = (pass: Pass, unit: Unit, workers: readonly Worker[], now: Now): Worker[] =>
   unit.step.step.gang
-    ? (placeGang(pass, unit, workers) ?? [])
+    ? (placeGang(pass, unit, workers, now) ?? [])
     : placeSingles(pass, unit, workers, now);
 
 /** Starts what waits and fits, and makes room for guarantees. */
--- a/src/control/placement/planReclaim.ts
+++ b/src/control/placement/planReclaim.ts
@@ -9,42 +9,61 @@
 import { isFitting } from './isFitting.js';
 import { listVictims } from './listVictims.js';
 import type { Pass } from './Pass.js';
+import type { Reclaim } from './Reclaim.js';
 import type { Unit } from './Unit.js';
 
-interface Reclaim {
-  worker: Worker;
-  victims: { task: Task; step: StepPlan }[];
-  loss: number;
+interface Search {
+  term: Term;
+  pass: Pass;
+  unit: Unit;
+  guaranteed: Set<string>;
+  now: Now;
+  /** Runs that are already to be stopped by this plan. */
+  claimed: Set<Task>;
+  /** Tasks of the unit that this plan has put on each worker. */
+  taken: Map<string, number>;
 }
 
-/** What will be free when the runs that are stopping have ended. */
-const getComing = (pass: Pass, worker: Worker): Resources =>
-  [...worker.tasks.values()]
-    .filter(({ state }) => state === 'stopping' || state === 'done')
-    .reduce((sum, { need }) => addResources(sum, need), getFree(pass, worker));
+type Choice = Omit<Reclaim, 'places'> & { worker: Worker };
 
-const planWorker = (
-  term: Term,
-  pass: Pass,
-  unit: Unit,
-  guaranteed: Set<string>,
-  worker: Worker,
-  now: Now,
-): Reclaim | null => {
-  const { need } = unit.tasks[0]!;
-  let free = getComing(pass, worker);
-  const plan: Reclaim = { worker, victims: [], loss: 0 };
-  if (isFitting(need, free)) return plan;
-  for (const victim of listVictims(term, guaranteed, worker, now)) {
-    plan.victims.push(victim);
-    plan.loss += victim.lossPerGpu * Math.max(1, victim.task.need.gpu);
+/** What will be free when the runs that are stopping, or are to be stopped, have ended. */
+const getComing = (search: Search, worker: Worker): Resources => {
+  const { need } = search.unit.tasks[0]!;
+  const taken = search.taken.get(worker.id) ?? 0;
+  const free = getFree(search.pass, worker);
+  const begin = {
+    cpu: free.cpu - need.cpu * taken,
+    memMb: free.memMb - need.memMb * taken,
+    gpu: free.gpu - need.gpu * taken,
+  };
+  return [...worker.tasks.values()]
+    .filter(
+      (task) => task.state === 'stopping' || task.state === 'done' || search.claimed.has(task),
+    )
+    .reduce((sum, task) => addResources(sum, task.need), begin);
+};
+
+const planWorker = (search: Search, worker: Worker): Choice | null => {
+  const { need } = search.unit.tasks[0]!;
+  let free = getComing(search, worker);
+  const choice: Choice = { worker, victims: [], loss: 0 };
+  if (isFitting(need, free)) return choice;
+  for (const victim of listVictims(search.term, search.guaranteed, worker, search.now)) {
+    if (search.claimed.has(victim.task)) continue;
+    choice.victims.push(victim);
+    choice.loss += victim.loss;
     free = addResources(free, victim.task.need);
-    if (isFitting(need, free)) return plan;
+    if (isFitting(need, free)) return choice;
   }
   return null;
 };
 
-/** Finds the worker at which room for one guaranteed task costs the least work; null if none. */
+const listMembers = (step: StepPlan, task: Task): Task[] => (step.step.gang ? step.tasks : [task]);
+
+/**
+ * Finds room for all tasks of a guaranteed unit among the workers, each where it costs the least
+ * work. Null when there is none even if everything that borrows is stopped.
+ */
 export const planReclaim = (
   term: Term,
   pass: Pass,
@@ -52,8 +71,30 @@
   guaranteed: Set<string>,
   workers: readonly Worker[],
   now: Now,
-): Reclaim | null =>
-  workers
-    .map((worker) => planWorker(term, pass, unit, guaranteed, worker, now))
-    .filter((plan) => plan !== null)
-    .sort((a, b) => a.loss - b.loss)[0] ?? null;
+): Reclaim | null => {
+  const search: Search = {
+    term,
+    pass,
+    unit,
+    guaranteed,
+    now,
+    claimed: new Set(),
+    taken: new Map(),
+  };
+  const plan: Reclaim = { places: [], victims: [], loss: 0 };
+  while (plan.places.length < unit.tasks.length) {
+    const choices = workers
+      .map((worker) => planWorker(search, worker))
+      .filter((choice) => choice !== null);
+    const best = choices.sort((a, b) => a.loss - b.loss)[0];
+    if (!best) return null;
+    plan.places.push(best.worker);
+    plan.victims.push(...best.victims);
+    plan.loss += best.loss;
+    search.taken.set(best.worker.id, (search.taken.get(best.worker.id) ?? 0) + 1);
+    best.victims.forEach(({ step, task }) =>
+      listMembers(step, task).forEach((member) => search.claimed.add(member)),
+    );
+  }
+  return plan;
+};
--- a/src/control/placement/reclaimRoom.ts
+++ b/src/control/placement/reclaimRoom.ts
@@ -5,16 +5,28 @@
 import { stopTask } from '../runs/stopTask.js';
 import type { Worker } from '../workers/Worker.js';
 import { addResources } from './addResources.js';
+import { chooseReclaim } from './chooseReclaim.js';
+import { coresPerGpu } from './coresPerGpu.js';
 import type { Pass } from './Pass.js';
-import { planReclaim } from './planReclaim.js';
+import type { Reclaim } from './Reclaim.js';
 import type { Unit } from './Unit.js';
 
 const nothing = { cpu: 0, memMb: 0, gpu: 0 };
 
-/**
- * Stops work that borrows a guarantee until every waiting task of the unit has room, and keeps
- * that room for it.
- */
+// Room often comes free by itself in this time; a guarantee allows some more.
+const patienceMs = 900;
+// Less work than the room can do in this time is thrown away at once.
+const cheapMs = 800;
+
+/** Whether to stop work now, or to wait a little for runs that end by themselves. */
+const isWorthwhile = (unit: Unit, plan: Reclaim, now: Now): boolean => {
+  const { need } = unit.tasks[0]!;
+  const cores = (need.cpu / 1000 + need.gpu * coresPerGpu) * unit.tasks.length;
+  const ageMs = now.wall - unit.plan.submission.acceptedAt;
+  return ageMs > patienceMs || plan.loss <= cores * cheapMs;
+};
+
+/** Stops work that borrows until the unit's tasks have room, and keeps that room for them. */
 export const reclaimRoom = (
   term: Term,
   pass: Pass,
@@ -22,16 +34,20 @@
   guaranteed: Set<string>,
   workers: readonly Worker[],
   now: Now,
-): Effect[] =>
-  unit.tasks.flatMap((task) => {
-    const plan = planReclaim(term, pass, unit, guaranteed, workers, now);
-    if (!plan) return [];
-    const held = pass.held.get(plan.worker.id) ?? nothing;
-    const stops = plan.victims.flatMap((victim) =>
-      victim.step.step.gang
-        ? stopGang(term, victim.step, 'preempted', now)
-        : stopTask(term, victim.task, 'preempted', now),
-    );
-    pass.held.set(plan.worker.id, addResources(held, task.need));
-    return stops;
+): Effect[] => {
+  const plan = chooseReclaim(term, pass, unit, guaranteed, workers, now);
+  if (!plan) {
+    const fields = { requestId: unit.plan.id, tasks: unit.tasks.length, workers: workers.length };
+    return [{ type: 'log', level: 'warn', code: 'guarantee_without_room', fields }];
+  }
+  const { need } = unit.tasks[0]!;
+  if (!isWorthwhile(unit, plan, now)) return [];
+  plan.places.forEach((worker) => {
+    pass.held.set(worker.id, addResources(pass.held.get(worker.id) ?? nothing, need));
   });
+  return plan.victims.flatMap(({ task, step }) =>
+    step.step.gang
+      ? stopGang(term, step, 'preempted', now)
+      : stopTask(term, task, 'preempted', now),
+  );
+};
--- a/src/control/plans/finishPlan.ts
+++ b/src/control/plans/finishPlan.ts
@@ -5,6 +5,8 @@
 import type { JobPlan } from './JobPlan.js';
 import { isJobEnded } from './isJobEnded.js';
 
+const stopReasons = { cancelled: 'cancelled', failed: 'job-ended' } as const;
+
 /** Gives a job its last state and stops what still runs of it. */
 export const finishPlan = (
   term: Term,
@@ -27,6 +29,7 @@
     { type: 'count', name: 'jobs_ended', reason: outcome },
     { type: 'observe', name: 'job_age_ms', ms: Math.max(0, fields.ageMs) },
     { type: 'log', level: 'info', code: 'job_ended', fields },
-    ...stopPlan(term, plan, outcome === 'cancelled' ? 'cancelled' : 'job-ended', now),
+    // What is left of a completed job are members of a gang that is done; they end by themselves.
+    ...(outcome === 'completed' ? [] : stopPlan(term, plan, stopReasons[outcome], now)),
   ];
 };
--- a/src/control/workers/Worker.ts
+++ b/src/control/workers/Worker.ts
@@ -31,6 +31,10 @@
   used: Resources;
   /** Runs that belong to no plan, by task name, with their run numbers. */
   strangers: Map<string, number>;
+  /** Smoothed logarithm of run times over declared ones; tells how slow it is. */
+  slowness: number;
+  /** Runs that `slowness` rests on. */
+  measuredRuns: number;
   /** Failed runs since its last success, by job. */
   failedJobs: Map<string, number>;
   /** Monotonic time up to which it gets no work. */
--- a/src/control/workers/getWorker.ts
+++ b/src/control/workers/getWorker.ts
@@ -18,6 +18,8 @@
   tasks: new Map(),
   used: { cpu: 0, memMb: 0, gpu: 0 },
   strangers: new Map(),
+  slowness: 0,
+  measuredRuns: 0,
   failedJobs: new Map(),
   asideUntil: Number.NEGATIVE_INFINITY,
   timesAside: 0,
