Let leases of silent workers end, free what left workers had, test on a fake platform

Ruled out: the registry alone as proof of death (a worker that is cut off runs on).

Change: a silent worker is not renewed, so its lease has a known end; a worker that was draining, is listed no more and does not answer has left.

--- a/src/control/runs/RequeueCause.ts
+++ b/src/control/runs/RequeueCause.ts
@@ -8,6 +8,7 @@
   | StartRefusal
   | StopReason
   | 'worker-restarted'
+  | 'worker-left'
   | 'lease-over'
   | 'not-listed'
   | 'worker-unusable';
--- a/src/control/runs/retryOrders.ts
+++ b/src/control/runs/retryOrders.ts
@@ -17,18 +17,33 @@
   task.stopSentAt !== null &&
   now.at - task.stopSentAt > stopRetryMs;
 
+/** A worker that announced that it leaves, is listed no more and does not answer, has left. */
+const hasLeft = ({ entry, leaving, failures }: Worker): boolean =>
+  entry === null && leaving && failures > 0;
+
+const findLoss = (
+  state: State,
+  term: Term,
+  worker: Worker,
+  now: Now,
+): 'worker-left' | 'lease-over' | null => {
+  if (hasLeft(worker)) return 'worker-left';
+  return isLeaseOver(state, term, worker, now) ? 'lease-over' : null;
+};
+
 const checkWorker = (state: State, term: Term, worker: Worker, now: Now): Effect[] => {
   const tasks = [...worker.tasks.values()];
-  if (isLeaseOver(state, term, worker, now)) {
+  const cause = findLoss(state, term, worker, now);
+  if (cause) {
     return tasks
       .filter(({ state: taskState }) => taskState !== 'recording')
-      .flatMap((task) => requeueTask(term, task, 'lease-over', now));
+      .flatMap((task) => requeueTask(term, task, cause, now));
   }
   return tasks
     .filter((task) => isStopUnanswered(task, now))
     .flatMap((task) => sendStop(term, worker, task, now));
 };
 
-/** Repeats stops without an answer, and gives up runs whose lease must have lapsed. */
+/** Repeats stops without an answer, and gives up runs whose worker left or whose lease is over. */
 export const retryOrders = (state: State, term: Term, now: Now): Effect[] =>
   [...term.workers.values()].flatMap((worker) => checkWorker(state, term, worker, now));
--- a/src/control/workers/Worker.ts
+++ b/src/control/workers/Worker.ts
@@ -7,6 +7,8 @@
   id: string;
   /** Its registry entry, or null when it left or is silent. */
   entry: WorkerEntry | null;
+  /** It was listed as draining in this life. */
+  leaving: boolean;
   /** Last known address, or empty. */
   address: string;
   /** Start of the life that answered last, or 0. */
--- a/src/control/workers/applyWorkerRecord.ts
+++ b/src/control/workers/applyWorkerRecord.ts
@@ -23,6 +23,7 @@
     return [{ type: 'log', level: 'info', code: 'worker_gone', fields }];
   }
   worker.address = entry.address;
+  worker.leaving = entry.state === 'draining';
   const effects: Effect[] = [];
   if (before?.state !== entry.state || before.born !== entry.born) {
     term.placementDue = true;
--- a/src/control/workers/getWorker.ts
+++ b/src/control/workers/getWorker.ts
@@ -5,6 +5,7 @@
 const createWorker = (id: string, now: Now): Worker => ({
   id,
   entry: null,
+  leaving: false,
   address: '',
   born: 0,
   clock: null,
--- a/src/control/workers/sendHold.ts
+++ b/src/control/workers/sendHold.ts
@@ -5,6 +5,8 @@
 import { estimateClock } from './estimateClock.js';
 import type { Worker } from './Worker.js';
 
+// Outlasts a take-over and most silences of the store; work on a crashed worker waits as long.
+const leaseMs = 6000;
 // A look shows ends at once; the wait bounds how often an idle worker is asked.
 const holdWaitMs = 1500;
 const answerTimeoutMs = 900;
@@ -12,7 +14,9 @@
 /** Asks a worker what runs and what ended, and renews its lease. */
 export const sendHold = (state: State, term: Term, worker: Worker, now: Now): Effect[] => {
   const clock = estimateClock(worker, now);
-  const until = clock === null ? null : clock + state.bounds.maxLeaseMs;
+  // A silent worker is not renewed, so that its lease ends at a known time.
+  const renewed = clock !== null && worker.failures === 0;
+  const until = renewed ? clock + Math.min(leaseMs, state.bounds.maxLeaseMs) : null;
   if (until !== null) worker.leaseUntil = Math.max(worker.leaseUntil, until);
   worker.holdSentAt = now.at;
   // The first answer tells the clock, and unwritten ends are known already: neither may wait.
--- /dev/null
+++ b/test/control/fuzz/FaultAction.ts
@@ -0,0 +1,25 @@
+/** One step of a random day. */
+export interface FaultAction {
+  kind:
+    | 'submit'
+    | 'submitGang'
+    | 'submitSteps'
+    | 'cancel'
+    | 'kill'
+    | 'freeze'
+    | 'terminate'
+    | 'cutStore'
+    | 'cutWorkers'
+    | 'storeDown'
+    | 'answersLost'
+    | 'ordersLate'
+    | 'crashWorker'
+    | 'rebirth'
+    | 'drainWorker'
+    | 'failWorker';
+  /** Time since the step before. */
+  afterMs: number;
+  /** Which VM, worker or job; taken modulo their number. */
+  target: number;
+  lastsMs: number;
+}
--- /dev/null
+++ b/test/control/fuzz/runDay.ts
@@ -0,0 +1,61 @@
+import { createOffice, startVm } from '../world/createOffice.js';
+import { findBrokenRules } from '../world/findBrokenRules.js';
+import { runFor } from '../world/runFor.js';
+import type { Office } from '../world/Office.js';
+import { showState } from '../world/showState.js';
+import { applyAction } from './applyAction.js';
+import type { FaultAction } from './FaultAction.js';
+
+// Beyond leases, pauses of workers and the longest fault.
+const settleMs = 45_000;
+
+const findFalseRefusals = (office: Office, sent: Map<string, number[]>): string[] =>
+  [...sent].flatMap(([id, requests]) => {
+    const refused = requests.every((request) => {
+      const answer = office.answers.get(request);
+      return answer?.type === 'refused' && answer.reason !== 'store-unanswered';
+    });
+    const ran = office.runs.some(({ task }) => task.startsWith(id.padStart(16, '0')));
+    return refused && ran ? [`job ${id} ran though it was refused`] : [];
+  });
+
+const findUnfinished = (office: Office, sent: Map<string, number[]>): string[] =>
+  [...sent].flatMap(([id, requests]) => {
+    const accepted = requests.some((request) => office.answers.get(request)?.type === 'accepted');
+    const states = office.vms.map((_, vm) => showState(office, id, vm));
+    const ended = states.every((state) => ['completed', 'failed', 'cancelled'].includes(state));
+    return accepted && !ended ? [`job ${id} was accepted and is ${states.join(', ')}`] : [];
+  });
+
+const findUncaused = (
+  office: Office,
+  actions: readonly FaultAction[],
+  cancelled: Set<string>,
+): string[] =>
+  [...office.vms[0]!.state.jobs.keys()].flatMap((id) => {
+    const short = String(Number(id));
+    const state = showState(office, id);
+    if (state === 'cancelled' && !cancelled.has(short)) return [`job ${short} was never cancelled`];
+    const failures = actions.some(({ kind }) => kind === 'failWorker');
+    return state === 'failed' && !failures ? [`job ${short} failed without a cause`] : [];
+  });
+
+/** Plays a random day on virtual time; returns what broke a promise. */
+export const runDay = (seed: number, actions: readonly FaultAction[]): string[] => {
+  const office = createOffice({ vms: 3, workers: 6, seed });
+  const day = { office, sent: new Map<string, number[]>(), cancelled: new Set<string>() };
+  runFor(office, 3000);
+  actions.forEach((action) => {
+    runFor(office, action.afterMs);
+    applyAction(day, action);
+  });
+  runFor(office, settleMs);
+  office.vms.filter(({ up }) => !up).forEach((vm) => startVm(office, vm));
+  runFor(office, 3000);
+  return [
+    ...findBrokenRules(office),
+    ...findFalseRefusals(office, day.sent),
+    ...findUnfinished(office, day.sent),
+    ...findUncaused(office, actions, day.cancelled),
+  ];
+};
--- /dev/null
+++ b/test/control/office.test.ts
@@ -0,0 +1,118 @@
+import { expect, test } from '@jest/globals';
+import { createOffice, killVm, listWorker, startVm, stopWorker } from './world/createOffice.js';
+import { findBrokenRules } from './world/findBrokenRules.js';
+import { findLead } from './world/findLead.js';
+import { runFor } from './world/runFor.js';
+import { showState } from './world/showState.js';
+import { submitJob } from './world/submitJob.js';
+
+// Guards against a path that accepts jobs and never runs them.
+test('a job runs and every VM shows it as completed', () => {
+  const office = createOffice({ vms: 3, workers: 2 });
+  runFor(office, 3000);
+  const request = submitJob(office, 'a', { vm: 1 });
+  runFor(office, 50);
+  expect(office.answers.get(request)).toEqual({ type: 'accepted' });
+  runFor(office, 2000);
+  expect([0, 1, 2].map((vm) => showState(office, 'a', vm))).toEqual(Array(3).fill('completed'));
+  expect(office.runs).toHaveLength(1);
+});
+
+// Guards against two leads that both place work.
+test('one VM leads', () => {
+  const office = createOffice({ vms: 5, workers: 1 });
+  runFor(office, 5000);
+  expect(office.vms.filter(({ state }) => state.term !== null)).toHaveLength(1);
+});
+
+// Guards against a repeated submission that becomes a second job.
+test('the same id at two VMs stays one job', () => {
+  const office = createOffice({ vms: 2, workers: 2 });
+  runFor(office, 3000);
+  submitJob(office, 'a', { vm: 0 });
+  submitJob(office, 'a', { vm: 1 });
+  runFor(office, 3000);
+  expect(office.runs).toHaveLength(1);
+});
+
+// Guards against work that is lost, or run again, when the lead dies.
+test('a killed lead is replaced and its runs go on', () => {
+  const office = createOffice({ vms: 3, workers: 2 });
+  runFor(office, 3000);
+  submitJob(office, 'a', { runMs: 6000, steps: [{ count: 4 }] });
+  runFor(office, 500);
+  killVm(findLead(office)!);
+  runFor(office, 8000);
+  expect(office.runs.map(({ kind }) => kind)).toEqual(Array(4).fill('done'));
+  expect(
+    showState(
+      office,
+      'a',
+      office.vms.findIndex(({ up }) => up),
+    ),
+  ).toBe('completed');
+});
+
+// Guards against a lease that is renewed for ever by looks that nobody answers.
+test('a crashed worker gives its tasks back when its lease is over', () => {
+  const office = createOffice({ vms: 1, workers: 2 });
+  runFor(office, 3000);
+  submitJob(office, 'a', { runMs: 4000 });
+  runFor(office, 500);
+  const [run] = office.runs;
+  stopWorker(office, run!.workerId);
+  listWorker(office, run!.workerId, 'gone');
+  runFor(office, 14_000);
+  expect(showState(office, 'a')).toBe('completed');
+  expect(findBrokenRules(office)).toEqual([]);
+});
+
+// Guards against tasks of a worker that left as announced waiting for its lease.
+test('a drained worker that left gives its tasks back at once', () => {
+  const office = createOffice({ vms: 1, workers: 2 });
+  runFor(office, 3000);
+  submitJob(office, 'a', { runMs: 4000 });
+  runFor(office, 500);
+  const [run] = office.runs;
+  listWorker(office, run!.workerId, 'draining');
+  runFor(office, 1000);
+  stopWorker(office, run!.workerId);
+  listWorker(office, run!.workerId, 'gone');
+  runFor(office, 4000);
+  expect(office.runs).toHaveLength(2);
+});
+
+// Guards against members of a tight gang for which room is freed in different racks.
+test('room for a guaranteed tight gang is reclaimed in one rack', () => {
+  const office = createOffice({ vms: 1, workers: 8 });
+  runFor(office, 3000);
+  for (let job = 0; job < 8; job += 1) {
+    submitJob(office, `b${job}`, { runMs: 20_000, gpu: 8 });
+  }
+  runFor(office, 1000);
+  expect(office.runs).toHaveLength(8);
+  submitJob(office, 'a', {
+    queue: 'u',
+    gpu: 8,
+    steps: [{ count: 2, gang: true, sameRack: true }],
+  });
+  runFor(office, 2700);
+  const members = office.runs.filter(({ task }) => task.startsWith('a'.padStart(16, '0')));
+  const racks = members.map(({ workerId }) => office.workers.get(workerId)!.entry.labels[1]);
+  expect(members).toHaveLength(2);
+  expect(new Set(racks).size).toBe(1);
+});
+
+// Guards against a restart of everything that forgets accepted jobs.
+test('jobs survive the loss of all VMs', () => {
+  const office = createOffice({ vms: 3, workers: 2 });
+  runFor(office, 3000);
+  submitJob(office, 'a', { runMs: 9000 });
+  runFor(office, 500);
+  office.vms.forEach(killVm);
+  runFor(office, 1000);
+  office.vms.forEach((vm) => startVm(office, vm));
+  runFor(office, 14_000);
+  expect(showState(office, 'a')).toBe('completed');
+  expect(findBrokenRules(office)).toEqual([]);
+});
--- /dev/null
+++ b/test/control/world/FakeRun.ts
@@ -0,0 +1,16 @@
+/** One run at a fake worker, as the worker itself knows it. */
+export interface FakeRun {
+  task: string;
+  run: number;
+  workerId: string;
+  startedAt: number;
+  /** When it will be done, if nothing ends it before. */
+  dueAt: number;
+  endedAt: number | null;
+  kind: 'done' | 'failed' | 'stopped' | 'lapsed' | 'gone' | null;
+  checkpoint: string;
+  /** A lead has acknowledged its end. */
+  noted: boolean;
+  /** The worker's lease lapsed between the end and its acknowledgement, which is allowed to count. */
+  lapsedSince: boolean;
+}
--- /dev/null
+++ b/test/control/world/FakeVm.ts
@@ -0,0 +1,16 @@
+import type { State } from '../../../src/control/State.js';
+
+/** An entry VM of the fake platform. */
+export interface FakeVm {
+  id: string;
+  state: State;
+  up: boolean;
+  /** Is refused by the store while others are served. */
+  cutFromStore: boolean;
+  /** Reaches no worker. */
+  cutFromWorkers: boolean;
+  /** Does nothing before this time; events wait. */
+  frozenUntil: number;
+  /** Raised at each start, so that answers to a former life are dropped. */
+  life: number;
+}
--- /dev/null
+++ b/test/control/world/Office.ts
@@ -0,0 +1,26 @@
+import type { Effect } from '../../../src/control/Effect.js';
+import type { UntimedEvent } from '../../../src/control/UntimedEvent.js';
+import type { CallerAnswer } from '../../../src/control/callers/CallerAnswer.js';
+import type { FakeRun } from './FakeRun.js';
+import type { FakeStore } from './FakeStore.js';
+import type { FakeVm } from './FakeVm.js';
+import type { FakeWorker } from './FakeWorker.js';
+
+/** The whole fake platform on virtual time. */
+export interface Office {
+  now: number;
+  store: FakeStore;
+  vms: FakeVm[];
+  workers: Map<string, FakeWorker>;
+  /** Every run that a worker began. */
+  runs: FakeRun[];
+  answers: Map<number, CallerAnswer>;
+  logs: { at: number; vmId: string; code: string; fields: Record<string, unknown> }[];
+  queue: { at: number; order: number; action: () => void }[];
+  order: number;
+  /** Share of orders to workers that are not answered and carried out seconds later. */
+  lateShare: number;
+  random: () => number;
+  runEffect: (vm: FakeVm, effect: Effect) => void;
+  push: (vm: FakeVm, event: UntimedEvent) => void;
+}
--- /dev/null
+++ b/test/control/world/createOffice.ts
@@ -0,0 +1,177 @@
+import { createState } from '../../../src/control/createState.js';
+import { reduce } from '../../../src/control/reduce.js';
+import type { Effect } from '../../../src/control/Effect.js';
+import { after } from './after.js';
+import type { FakeVm } from './FakeVm.js';
+import { createRandom } from './createRandom.js';
+import type { Office } from './Office.js';
+import { serveStore, storeRecord } from './serveStore.js';
+import { serveWorker } from './serveWorker.js';
+
+const tickMs = 100;
+const epochWall = 1_700_000_000_000;
+
+const bounds = {
+  maxLeaseMs: 6000,
+  stopTimeoutMs: 200,
+  gangTimeoutMs: 3000,
+  statusKeepMs: 120_000,
+  remoteFactor: 3,
+  graceMs: 6000,
+};
+
+const config = {
+  version: 1,
+  queues: [
+    { name: 'urgent', prefix: '/u/', priority: 0, targetMs: 250, stretch: 1.5 },
+    { name: 'batch', prefix: '/b/', priority: 1, targetMs: 1000, stretch: 3 },
+  ].map((queue) => ({ ...queue, host: 'h', service: 'svc', maxAttempts: 3, open: false })),
+  services: [{ name: 'svc', guardsCapacity: false }],
+  workspaces: [{ name: 'ws', keys: ['key'], guaranteedGpu: 16 }],
+  maxBodyBytes: 262_144,
+};
+
+const runEffect = (office: Office, vm: FakeVm, effect: Effect): void => {
+  if (effect.type === 'readStream' || effect.type === 'readPage' || effect.type === 'append') {
+    serveStore(office, vm, effect);
+  } else if (effect.type === 'callWorker') serveWorker(office, vm, effect);
+  else if (effect.type === 'answerCaller') office.answers.set(effect.requestId, effect.answer);
+  else if (effect.type === 'exit') {
+    vm.up = false;
+    vm.life += 1;
+  } else if (effect.type === 'log') {
+    office.logs.push({ at: office.now, vmId: vm.id, code: effect.code, fields: effect.fields });
+  }
+};
+
+const push: (office: Office, ...args: Parameters<Office['push']>) => void = (office, vm, event) => {
+  if (!vm.up) return;
+  if (office.now < vm.frozenUntil) {
+    after(office, vm.frozenUntil - office.now, () => office.push(vm, event));
+    return;
+  }
+  const timed = { ...event, at: office.now, wall: epochWall + office.now };
+  reduce(vm.state, timed).forEach((effect) => office.runEffect(vm, effect));
+};
+
+/** Starts, or starts anew, the daemon of a VM. */
+export const startVm = (office: Office, vm: FakeVm): void => {
+  vm.up = true;
+  vm.life += 1;
+  const { life } = vm;
+  vm.state = createState({ vmId: vm.id, zone: 'z', incarnation: `${vm.id}-${life}` }, bounds);
+  office.push(vm, { type: 'started' });
+  const tick = (): void => {
+    if (vm.life !== life) return;
+    office.push(vm, { type: 'tick' });
+    after(office, tickMs, tick);
+  };
+  after(office, office.random() * tickMs, tick);
+};
+
+/** Kills the daemon of a VM. */
+export const killVm = (vm: FakeVm): void => {
+  vm.up = false;
+  vm.life += 1;
+};
+
+/** Starts, or starts anew, a worker, and lists it in the registry. */
+export const startWorker = (office: Office, id: string, gpu = 8): void => {
+  const number = Number(id.slice(1));
+  const entry = {
+    service: 'svc',
+    address: `10.0.0.${number}:80`,
+    zone: 'z',
+    state: 'ready' as const,
+    capacity: { cpu: 64_000, memMb: 131_072, gpu },
+    labels: ['a', `r${Math.floor(number / 4)}`],
+    born: Math.round(epochWall + office.now),
+    remainingMs: 0,
+  };
+  office.workers.set(id, {
+    id,
+    entry,
+    up: true,
+    bootAt: office.now,
+    token: 0,
+    leaseUntil: 0,
+    running: new Map(),
+    ended: [],
+    lastEnd: 0,
+    over: new Map(),
+    failing: false,
+  });
+  listWorker(office, id, 'ready');
+};
+
+/** Writes a worker's registry entry, or removes it. */
+export function listWorker(office: Office, id: string, state: 'ready' | 'draining' | 'gone'): void {
+  const worker = office.workers.get(id)!;
+  const entry = state === 'gone' ? null : { ...worker.entry, state };
+  const decoded = { type: 'worker', id, entry };
+  storeRecord(office, 'workers', { key: id, value: Buffer.alloc(0), decoded });
+}
+
+/** Ends a worker and everything that runs on it. */
+export const stopWorker = (office: Office, id: string): void => {
+  const worker = office.workers.get(id)!;
+  worker.up = false;
+  worker.running.forEach((run) => {
+    run.endedAt = office.now;
+    run.kind = 'gone';
+  });
+  worker.running.clear();
+};
+
+/** Creates an office of VMs and workers around an empty store. */
+export const createOffice = (options: { vms: number; workers: number; seed?: number }): Office => {
+  const empty = <T>(): Record<'config' | 'journal' | 'claims' | 'workers', T[]> => ({
+    config: [],
+    journal: [],
+    claims: [],
+    workers: [],
+  });
+  const office: Office = {
+    now: 0,
+    store: {
+      streams: empty(),
+      readers: empty(),
+      epoch: 0,
+      sequence: -1,
+      lastAnswer: { offset: 0, end: 0 },
+      down: false,
+      lostShare: 0,
+    },
+    vms: [],
+    workers: new Map(),
+    runs: [],
+    answers: new Map(),
+    logs: [],
+    queue: [],
+    order: 0,
+    lateShare: 0,
+    random: createRandom(options.seed ?? 1),
+    runEffect: (vm, effect) => runEffect(office, vm, effect),
+    push: (vm, event) => push(office, vm, event),
+  };
+  storeRecord(office, 'config', {
+    key: 'config',
+    value: Buffer.alloc(0),
+    decoded: { type: 'config', config },
+  });
+  for (let number = 0; number < options.workers; number += 1) startWorker(office, `w${number}`);
+  for (let number = 0; number < options.vms; number += 1) {
+    const vm: FakeVm = {
+      id: `vm${number}`,
+      state: createState({ vmId: '', zone: '', incarnation: '' }, bounds),
+      up: false,
+      cutFromStore: false,
+      cutFromWorkers: false,
+      frozenUntil: 0,
+      life: 0,
+    };
+    office.vms.push(vm);
+    startVm(office, vm);
+  }
+  return office;
+};
--- /dev/null
+++ b/test/control/world/findBrokenRules.ts
@@ -0,0 +1,53 @@
+import type { FakeRun } from './FakeRun.js';
+import type { Office } from './Office.js';
+
+const isOverlapping = (a: FakeRun, b: FakeRun): boolean =>
+  a.startedAt < (b.endedAt ?? Number.POSITIVE_INFINITY) &&
+  b.startedAt < (a.endedAt ?? Number.POSITIVE_INFINITY);
+
+const findTwice = (runs: readonly FakeRun[]): string[] =>
+  runs.flatMap((run, index) =>
+    runs
+      .slice(index + 1)
+      .filter((other) => isOverlapping(run, other))
+      .map(
+        (other) =>
+          `${run.task} runs twice: ${run.workerId}/${run.run}, ${other.workerId}/${other.run}`,
+      ),
+  );
+
+const isBinding = (run: FakeRun): boolean => run.kind === 'done' && run.noted && !run.lapsedSince;
+
+const findAfterDone = (runs: readonly FakeRun[]): string[] =>
+  runs
+    .filter((run) => runs.some((other) => isBinding(other) && other.endedAt! < run.startedAt))
+    .map((run) => `${run.task} starts after it was done: ${run.workerId}/${run.run}`);
+
+const findOverfull = (office: Office): string[] =>
+  office.runs.flatMap((run) => {
+    const together = office.runs.filter(
+      (other) =>
+        other.workerId === run.workerId &&
+        other.startedAt <= run.startedAt &&
+        (other.endedAt ?? Number.POSITIVE_INFINITY) > run.startedAt,
+    );
+    const capacity = office.workers.get(run.workerId)!.entry.capacity.gpu;
+    const used = together.reduce((sum, { task }) => sum + findGpu(office, task), 0);
+    return used > capacity ? [`${run.workerId} is overfull: ${used} of ${capacity}`] : [];
+  });
+
+function findGpu(office: Office, task: string): number {
+  const [id = '', , step = '0'] = task.split('.');
+  const job = office.vms.map(({ state }) => state.jobs.get(id)).find((known) => known?.submission);
+  return job?.submission?.definition.steps[Number(step)]?.need.gpu ?? 0;
+}
+
+/** Checks what the workers saw against the promises; empty when all were kept. */
+export const findBrokenRules = (office: Office): string[] => {
+  const byTask = new Map<string, FakeRun[]>();
+  office.runs.forEach((run) => byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]));
+  return [
+    ...[...byTask.values()].flatMap((runs) => [...findTwice(runs), ...findAfterDone(runs)]),
+    ...findOverfull(office),
+  ];
+};
--- /dev/null
+++ b/test/control/world/serveStore.ts
@@ -0,0 +1,123 @@
+import { decodeRecord } from '../../../src/adapters/journal/decodeRecord.js';
+import { encodeRecord } from '../../../src/adapters/journal/encodeRecord.js';
+import type { StreamEffect } from '../../../src/control/streams/StreamEffect.js';
+import type { StreamEvent } from '../../../src/control/streams/StreamEvent.js';
+import type { StreamName } from '../../../src/control/streams/StreamName.js';
+import type { StreamRecord } from '../../../src/control/streams/StreamRecord.js';
+import { after } from './after.js';
+import type { FakeVm } from './FakeVm.js';
+import type { Office } from './Office.js';
+
+const answerMs = 5;
+
+type Reply = (event: StreamEvent) => void;
+type EffectOf<T extends StreamEffect['type']> = Extract<StreamEffect, { type: T }>;
+
+const decodeAt = (office: Office, stream: StreamName, offset: number): StreamRecord => {
+  const stored = office.store.streams[stream][offset]!;
+  if (stored.decoded) return { ...(stored.decoded as StreamRecord), offset };
+  const decoded = decodeRecord(stored, stream as 'journal' | 'claims');
+  return decoded ? { ...decoded, offset } : { type: 'unreadable', key: stored.key, offset };
+};
+
+const readStream = (office: Office, effect: EffectOf<'readStream'>, reply: Reply): void => {
+  const { stream, readId, from, waitMs } = effect;
+  const records = office.store.streams[stream];
+  const answer = (): void => {
+    const next = records.length;
+    const read = Array.from({ length: Math.max(0, next - from) }, (_, index) =>
+      decodeAt(office, stream, from + index),
+    );
+    reply({ type: 'streamRead', stream, readId, records: read, next, end: next });
+  };
+  if (records.length > from) {
+    answer();
+    return;
+  }
+  const reader = { from, until: office.now + waitMs, answer };
+  office.store.readers[stream].push(reader);
+  after(office, waitMs, () => {
+    const index = office.store.readers[stream].indexOf(reader);
+    if (index < 0) return;
+    office.store.readers[stream].splice(index, 1);
+    answer();
+  });
+};
+
+const readPage = (office: Office, effect: EffectOf<'readPage'>, reply: Reply): void => {
+  const { stream, readId } = effect;
+  const records = office.store.streams[stream];
+  const newest = new Map(records.map(({ key }, offset) => [key, offset]));
+  const read = [...newest.values()]
+    .filter((offset) => records[offset]!.value.length > 0 || records[offset]!.decoded)
+    .map((offset) => decodeAt(office, stream, offset));
+  reply({ type: 'pageRead', stream, readId, records: read, after: null, end: records.length });
+};
+
+/** Appends a record of the platform's own, such as a registry entry. */
+export const storeRecord = (
+  office: Office,
+  stream: StreamName,
+  record: { key: string; value: Buffer; decoded?: unknown },
+): void => {
+  office.store.streams[stream].push(record);
+  office.store.readers[stream].splice(0).forEach(({ answer }) => answer());
+};
+
+const append = (office: Office, effect: EffectOf<'append'>): StreamEvent => {
+  const { appendId, stream, records, condition } = effect;
+  const { store } = office;
+  const stored = store.streams[stream];
+  const end = stored.length;
+  const fail = (reason: 'conflict' | 'fenced' | 'sequence'): StreamEvent => ({
+    type: 'appendFailed',
+    appendId,
+    reason,
+    end,
+  });
+  if (condition.type === 'endsAt' && condition.offset !== end) return fail('conflict');
+  if (condition.type === 'fenced') {
+    if (condition.token < store.epoch) return fail('fenced');
+    if (condition.token === store.epoch) {
+      if (condition.sequence === store.sequence)
+        return { type: 'appended', appendId, ...store.lastAnswer };
+      if (condition.sequence !== store.sequence + 1) return fail('sequence');
+    }
+    store.epoch = condition.token;
+    store.sequence = condition.sequence;
+    store.lastAnswer = { offset: end, end: end + records.length };
+  }
+  records.forEach((record) => storeRecord(office, stream, encodeRecord(record)));
+  return { type: 'appended', appendId, offset: end, end: end + records.length };
+};
+
+const refuse = (effect: StreamEffect): StreamEvent =>
+  effect.type === 'append'
+    ? { type: 'appendFailed', appendId: effect.appendId, reason: 'refused', end: 0 }
+    : { type: 'readFailed', stream: effect.stream, readId: effect.readId, reason: 'refused' };
+
+/** Serves one call of a VM to the store. */
+export const serveStore = (office: Office, vm: FakeVm, effect: StreamEffect): void => {
+  const { life } = vm;
+  const reply: Reply = (event) =>
+    after(office, answerMs / 2, () => {
+      if (vm.life === life) office.push(vm, event);
+    });
+  after(office, answerMs / 2, () => {
+    if (office.store.down || vm.cutFromStore) {
+      reply(refuse(effect));
+      return;
+    }
+    if (effect.type === 'readStream') readStream(office, effect, reply);
+    else if (effect.type === 'readPage') readPage(office, effect, reply);
+    else {
+      const answer = append(office, effect);
+      if (office.random() >= office.store.lostShare) reply(answer);
+      else {
+        after(office, effect.timeoutMs, () =>
+          reply({ type: 'appendFailed', appendId: effect.appendId, reason: 'unknown', end: 0 }),
+        );
+      }
+    }
+  });
+};
--- /dev/null
+++ b/test/control/world/serveWorker.ts
@@ -0,0 +1,186 @@
+import type { WorkerAnswer } from '../../../src/control/workers/WorkerAnswer.js';
+import type { WorkerCall } from '../../../src/control/workers/WorkerCall.js';
+import type { WorkerEffect } from '../../../src/control/workers/WorkerEffect.js';
+import { after } from './after.js';
+import type { FakeRun } from './FakeRun.js';
+import type { FakeVm } from './FakeVm.js';
+import type { FakeWorker } from './FakeWorker.js';
+import type { Office } from './Office.js';
+
+const wayMs = 1;
+const maxLeaseMs = 6000;
+const latestLateMs = 4000;
+
+/** Run time of a task: the number in its spec. */
+const readRunMs = (spec: string): number => Number(spec);
+
+const readClock = (office: Office, worker: FakeWorker): number => office.now - worker.bootAt;
+
+const endRun = (office: Office, worker: FakeWorker, run: FakeRun, kind: FakeRun['kind']): void => {
+  worker.running.delete(run.task);
+  run.endedAt = office.now;
+  run.kind = kind;
+  worker.lastEnd += 1;
+  worker.over.set(run.task, Math.max(run.run, worker.over.get(run.task) ?? 0));
+  worker.ended.push({ number: worker.lastEnd, run });
+};
+
+/** Brings a worker up to the present: what is done has ended, and what lost its lease too. */
+export const settleWorker = (office: Office, worker: FakeWorker): void => {
+  [...worker.running.values()].forEach((run) => {
+    const lapsesAt = worker.leaseUntil + worker.bootAt;
+    const endsAt = Math.min(run.dueAt, lapsesAt);
+    if (office.now < endsAt) return;
+    const { now } = office;
+    office.now = endsAt;
+    const kind = worker.failing ? 'failed' : 'done';
+    endRun(office, worker, run, lapsesAt < run.dueAt ? 'lapsed' : kind);
+    office.now = now;
+  });
+};
+
+const startRun = (
+  office: Office,
+  worker: FakeWorker,
+  call: Extract<WorkerCall, { type: 'start' }>,
+): WorkerAnswer => {
+  const clock = readClock(office, worker);
+  if (call.until < clock) return { type: 'refused', reason: 'late', clock };
+  if ((worker.over.get(call.task) ?? 0) >= call.run)
+    return { type: 'refused', reason: 'old-run', clock };
+  worker.leaseUntil = Math.max(worker.leaseUntil, Math.min(call.until, clock + maxLeaseMs));
+  if (worker.running.has(call.task)) return { type: 'done', clock };
+  const run: FakeRun = {
+    task: call.task,
+    run: call.run,
+    workerId: worker.id,
+    startedAt: office.now,
+    dueAt: office.now + readRunMs(call.spec),
+    endedAt: null,
+    kind: null,
+    checkpoint: call.checkpoint,
+    noted: false,
+    lapsedSince: false,
+  };
+  worker.running.set(call.task, run);
+  office.runs.push(run);
+  return { type: 'done', clock };
+};
+
+const stopRun = (
+  office: Office,
+  worker: FakeWorker,
+  call: Extract<WorkerCall, { type: 'stop' }>,
+): WorkerAnswer => {
+  const run = worker.running.get(call.task);
+  worker.over.set(call.task, Math.max(call.run, worker.over.get(call.task) ?? 0));
+  if (run && run.run <= call.run) endRun(office, worker, run, 'stopped');
+  return { type: 'done', clock: readClock(office, worker) };
+};
+
+const listRuns = (office: Office, worker: FakeWorker): WorkerAnswer => ({
+  type: 'listing',
+  clock: readClock(office, worker),
+  born: worker.entry.born,
+  running: [...worker.running.values()].map(({ task, run }) => ({
+    task,
+    run,
+    checkpoint: '',
+    percent: 1,
+  })),
+  ended: worker.ended.map(({ number, run }) => ({
+    number,
+    task: run.task,
+    run: run.run,
+    kind: run.kind === 'gone' ? 'stopped' : run.kind!,
+    checkpoint: '',
+  })),
+});
+
+const holdRuns = (
+  office: Office,
+  worker: FakeWorker,
+  call: Extract<WorkerCall, { type: 'hold' }>,
+): WorkerAnswer => {
+  const clock = readClock(office, worker);
+  if (call.until !== null) {
+    worker.leaseUntil = Math.max(worker.leaseUntil, Math.min(call.until, clock + maxLeaseMs));
+  }
+  worker.ended.forEach(({ number, run }) => {
+    if (number <= call.lastSeen) run.noted = true;
+  });
+  worker.ended = worker.ended.filter(({ number }) => number > call.lastSeen);
+  return listRuns(office, worker);
+};
+
+const carryOut = (
+  office: Office,
+  worker: FakeWorker,
+  token: number,
+  call: WorkerCall,
+): WorkerAnswer => {
+  settleWorker(office, worker);
+  if (readClock(office, worker) > worker.leaseUntil) {
+    worker.ended.forEach(({ run }) => {
+      run.lapsedSince = true;
+    });
+  }
+  if (token < worker.token) return { type: 'refused', reason: 'fenced', clock: null };
+  worker.token = token;
+  if (call.type === 'start') return startRun(office, worker, call);
+  if (call.type === 'stop') return stopRun(office, worker, call);
+  return holdRuns(office, worker, call);
+};
+
+/** When a look that waits is answered: at the next end, or when its wait is over. */
+const computeWait = (office: Office, worker: FakeWorker, call: WorkerCall): number => {
+  if (call.type !== 'hold') return 0;
+  settleWorker(office, worker);
+  if (worker.ended.some(({ number }) => number > call.lastSeen)) return 0;
+  const ends = [...worker.running.values()].map(({ dueAt }) => dueAt - office.now);
+  return Math.max(0, Math.min(call.waitMs, ...ends));
+};
+
+/** Serves one call of a VM to a worker. */
+export const serveWorker = (
+  office: Office,
+  vm: FakeVm,
+  effect: Extract<WorkerEffect, { type: 'callWorker' }>,
+): void => {
+  const { life } = vm;
+  const { workerId, token, call, timeoutMs } = effect;
+  const sentAt = office.now;
+  const worker = office.workers.get(workerId);
+  const reply = (answer: WorkerAnswer, delayMs: number): void =>
+    after(office, delayMs, () => {
+      if (vm.life === life) {
+        office.push(vm, { type: 'workerAnswered', workerId, token, call, sentAt, answer });
+      }
+    });
+  const late = call.type !== 'hold' && office.random() < office.lateShare;
+  if (!worker || vm.cutFromWorkers || !worker.up || late) {
+    reply({ type: 'unanswered' }, timeoutMs);
+    if (late && worker) {
+      after(office, timeoutMs + office.random() * latestLateMs, () => {
+        if (worker.up) carryOut(office, worker, token, call);
+      });
+    }
+    return;
+  }
+  after(office, wayMs, () => {
+    if (!worker.up) {
+      reply({ type: 'unanswered' }, timeoutMs);
+      return;
+    }
+    const first = call.type === 'hold' ? { ...call, waitMs: 0 } : call;
+    const refused = carryOut(office, worker, token, first);
+    if (call.type !== 'hold' || refused.type === 'refused') {
+      reply(refused, wayMs);
+      return;
+    }
+    after(office, computeWait(office, worker, call), () => {
+      if (!worker.up || vm.cutFromWorkers) reply({ type: 'unanswered' }, timeoutMs);
+      else reply(carryOut(office, worker, token, { ...call, until: null }), wayMs);
+    });
+  });
+};
--- /dev/null
+++ b/test/control/world/showState.ts
@@ -0,0 +1,9 @@
+import { computeJobState } from '../../../src/control/callers/computeJobState.js';
+import type { JobState } from '../../../src/control/jobs/JobState.js';
+import type { Office } from './Office.js';
+
+/** The state of a job as one VM would show it. */
+export const showState = (office: Office, id: string, vm = 0): JobState | 'unknown' => {
+  const job = office.vms[vm]!.state.jobs.get(id.padStart(16, '0'));
+  return job?.submission ? computeJobState(job) : 'unknown';
+};
--- /dev/null
+++ b/test/control/world/submitJob.ts
@@ -0,0 +1,58 @@
+import type { Schedule } from '../../../src/control/jobs/Schedule.js';
+import type { Step } from '../../../src/control/jobs/Step.js';
+import type { Office } from './Office.js';
+
+const plainStep: Step = {
+  count: 1,
+  need: { cpu: 1000, memMb: 1000, gpu: 1 },
+  estimateMs: 1000,
+  after: [],
+  gang: false,
+  sameRack: false,
+  checkpointing: false,
+  requiredLabel: '',
+  dataRack: '',
+  maxPerWorker: 0,
+  speculative: false,
+  longRunning: false,
+  fills: false,
+};
+
+interface JobOptions {
+  vm?: number;
+  queue?: 'u' | 'b';
+  operation?: 'submit' | 'show' | 'cancel';
+  runMs?: number;
+  gpu?: number;
+  steps?: Partial<Step>[];
+  schedule?: Schedule;
+  deadlineMs?: number;
+}
+
+let lastRequestId = 0;
+
+/** Sends a caller's request; returns its number, under which the answer is found. */
+export const submitJob = (office: Office, id: string, options: JobOptions = {}): number => {
+  lastRequestId += 1;
+  const need = { cpu: 1000, memMb: 1000, gpu: options.gpu ?? 1 };
+  const estimateMs = options.runMs ?? 1000;
+  const steps = (options.steps ?? [{}]).map((step) => ({
+    ...plainStep,
+    need,
+    estimateMs,
+    ...step,
+  }));
+  office.push(office.vms[options.vm ?? 0]!, {
+    type: 'callerRequested',
+    request: {
+      requestId: lastRequestId,
+      operation: options.operation ?? 'submit',
+      host: 'h',
+      path: `/${options.queue ?? 'b'}/${id.padStart(16, '0')}`,
+      key: 'key',
+      definition: { spec: String(estimateMs), steps, schedule: options.schedule ?? null },
+      deadlineMs: options.deadlineMs ?? 3000,
+    },
+  });
+  return lastRequestId;
+};
