--- a/src/control/placement/choosePlaces.ts
+++ b/src/control/placement/choosePlaces.ts
@@ -31,10 +31,11 @@
 // Workers whose speeds differ by less than this factor's logarithm count as equally fast.
 const speedStep = 0.25;
 
-const rankSpeed = ({ worker }: Room): number => Math.round(worker.slowness / speedStep);
+const computeSpeedStep = ({ worker }: Room): number => Math.round(worker.slowness / speedStep);
 
 /** Urgent work goes to the fastest, then to the fullest. */
-const compareSpeed = (a: Room, b: Room): number => rankSpeed(a) - rankSpeed(b) || compareRoom(a, b);
+const compareSpeed = (a: Room, b: Room): number =>
+  computeSpeedStep(a) - computeSpeedStep(b) || compareRoom(a, b);
 
 /** Other work goes to the fullest, and last to what is kept for urgent work. */
 const compareFill =
--- a/test/control/fuzz/days.test.ts
+++ b/test/control/fuzz/days.test.ts
@@ -3,8 +3,8 @@
 import { dayArbitrary } from './dayArbitrary.js';
 import { runDay } from './runDay.js';
 
-const seed = Number(process.env['FUZZ_SEED'] ?? 4);
-const numRuns = Number(process.env['FUZZ_RUNS'] ?? 60);
+const seed = Number(process.env.FUZZ_SEED ?? 4);
+const numRuns = Number(process.env.FUZZ_RUNS ?? 60);
 
 // Guards every promise of docs/platform.md against faults that overlap.
 test('random days keep the promises', () => {
--- a/test/control/world/createOffice.ts
+++ b/test/control/world/createOffice.ts
@@ -3,7 +3,7 @@
 import type { Effect } from '../../../src/control/Effect.js';
 import { after } from './after.js';
 import type { FakeVm } from './FakeVm.js';
-import { createRandom } from './createRandom.js';
+import { createRandom } from '../../fuzz/world/createRandom.js';
 import type { Office } from './Office.js';
 import { serveStore, storeRecord } from './serveStore.js';
 import { serveWorker } from './serveWorker.js';
@@ -75,6 +75,18 @@
   vm.life += 1;
 };
 
+/** Writes a worker's registry entry, or removes it. */
+export const listWorker = (
+  office: Office,
+  id: string,
+  state: 'ready' | 'draining' | 'gone',
+): void => {
+  const worker = office.workers.get(id)!;
+  const entry = state === 'gone' ? null : { ...worker.entry, state };
+  const decoded = { type: 'worker', id, entry };
+  storeRecord(office, 'workers', { key: id, value: Buffer.alloc(0), decoded });
+};
+
 /** Starts, or starts anew, a worker, and lists it in the registry. */
 export const startWorker = (office: Office, id: string, gpu = 8): void => {
   const number = Number(id.slice(1));
@@ -104,14 +116,6 @@
   listWorker(office, id, 'ready');
 };
 
-/** Writes a worker's registry entry, or removes it. */
-export function listWorker(office: Office, id: string, state: 'ready' | 'draining' | 'gone'): void {
-  const worker = office.workers.get(id)!;
-  const entry = state === 'gone' ? null : { ...worker.entry, state };
-  const decoded = { type: 'worker', id, entry };
-  storeRecord(office, 'workers', { key: id, value: Buffer.alloc(0), decoded });
-}
-
 /** Ends a worker and everything that runs on it. */
 export const stopWorker = (office: Office, id: string): void => {
   const worker = office.workers.get(id)!;
--- a/test/control/world/findBrokenRules.ts
+++ b/test/control/world/findBrokenRules.ts
@@ -23,6 +23,12 @@
     .filter((run) => runs.some((other) => isBinding(other) && other.endedAt! < run.startedAt))
     .map((run) => `${run.task} starts after it was done: ${run.workerId}/${run.run}`);
 
+const findGpu = (office: Office, task: string): number => {
+  const [id = '', , step = '0'] = task.split('.');
+  const job = office.vms.map(({ state }) => state.jobs.get(id)).find((known) => known?.submission);
+  return job?.submission?.definition.steps[Number(step)]?.need.gpu ?? 0;
+};
+
 const findOverfull = (office: Office): string[] =>
   office.runs.flatMap((run) => {
     const together = office.runs.filter(
@@ -36,12 +42,6 @@
     return used > capacity ? [`${run.workerId} is overfull: ${used} of ${capacity}`] : [];
   });
 
-function findGpu(office: Office, task: string): number {
-  const [id = '', , step = '0'] = task.split('.');
-  const job = office.vms.map(({ state }) => state.jobs.get(id)).find((known) => known?.submission);
-  return job?.submission?.definition.steps[Number(step)]?.need.gpu ?? 0;
-}
-
 /** Checks what the workers saw against the promises; empty when all were kept. */
 export const findBrokenRules = (office: Office): string[] => {
   const byTask = new Map<string, FakeRun[]>();
