--- a/src/bin/siskin-node.ts
+++ b/src/bin/siskin-node.ts
@@ -7,11 +7,17 @@
 const configErrorStatus = 6;
 
 const program = cac('siskin-node');
-program.command('', 'Start the daemon of this entry VM on the platform').action(() => {
-  loadSettings(process.env).match(startNode, (error) => {
-    process.stderr.write(`${formatSettingsError(error)}\n`);
-    process.exit(configErrorStatus);
+program
+  .command('', 'Start the daemon of this entry VM on the platform')
+  .option('--metrics-port <port>', 'Port at which metrics are served', { default: 9464 })
+  .action(({ metricsPort }: { metricsPort: number }) => {
+    loadSettings(process.env).match(
+      (settings) => startNode(settings, metricsPort),
+      (error) => {
+        process.stderr.write(`${formatSettingsError(error)}\n`);
+        process.exit(configErrorStatus);
+      },
+    );
   });
-});
 program.help();
 program.parse();
--- /dev/null
+++ b/test/platform/decodeLog.test.ts
@@ -0,0 +1,28 @@
+import { expect, test } from '@jest/globals';
+import { decodeLog } from '../../platform/decodeLog.js';
+import { encodeLog } from '../../platform/encodeLog.js';
+
+const head = (end: number): Buffer => {
+  const bytes = Buffer.alloc(16);
+  bytes.writeBigUInt64BE(BigInt(end), 0);
+  return bytes;
+};
+
+// Guards against records whose bounds are read wrongly.
+test('decodes what it encodes', () => {
+  const records = [
+    { key: 's/1', value: Buffer.from('abc') },
+    { key: 'p/1', value: Buffer.alloc(0) },
+  ];
+  const page = decodeLog(Buffer.concat([head(7), encodeLog(records)]));
+  expect(page.end).toBe(7);
+  expect(page.records.map(({ key, value }) => [key, value.toString()])).toEqual([
+    ['s/1', 'abc'],
+    ['p/1', ''],
+  ]);
+});
+
+// Guards against a crash at an empty answer.
+test('decodes an answer without records', () => {
+  expect(decodeLog(head(3))).toEqual({ end: 3, records: [] });
+});
