Keep runs that reached a worker's new life, acknowledge ends once

Two faults: the registry's entry made the lead give the run up, so the task ran twice; and a look carried the acknowledged number of the former life, by which the new life forgot its first ends, so finished tasks ran again.

Ruled out: X-Expect-Instance (the id stays the same); trusting the registry's birth time without a listing.

Change: only a listing tells what a new life holds; a newer registry entry closes old connections and asks at once. A number of ends is sent once, right after a listing, and never to a worker that was silent in between.

--- a/src/control/progress/finishWrite.ts
+++ b/src/control/progress/finishWrite.ts
@@ -31,6 +31,7 @@
     const worker = term.workers.get(workerId);
     if (!worker || worker.born !== born) return;
     worker.lastSeen = Math.max(worker.lastSeen, number);
+    worker.ackDue = true;
     worker.nextHoldAt = Math.min(worker.nextHoldAt, now.at);
   });
   const starts = write.starts.filter(
--- a/src/control/progress/writeProgress.ts
+++ b/src/control/progress/writeProgress.ts
@@ -15,7 +15,9 @@
 
 const acknowledgeEnds = (term: Term): void => {
   term.workers.forEach((worker) => {
+    if (worker.lastSeen === worker.lastEnd) return;
     worker.lastSeen = worker.lastEnd;
+    worker.ackDue = true;
   });
 };
 
--- a/src/control/workers/Worker.ts
+++ b/src/control/workers/Worker.ts
@@ -27,6 +27,8 @@
   failures: number;
   /** Last end that is written down. */
   lastSeen: number;
+  /** It has not been told of `lastSeen` yet. */
+  ackDue: boolean;
   /** Last end that was taken into the plans. */
   lastEnd: number;
   tasks: Map<string, Task>;
--- a/src/control/workers/applyListing.ts
+++ b/src/control/workers/applyListing.ts
@@ -78,13 +78,15 @@
   term: Term,
   worker: Worker,
   listing: Listing,
-  sentAt: number,
+  asked: { sentAt: number; lastSeen: number },
   maxLeaseMs: number,
   now: Now,
 ): Effect[] => {
+  const { sentAt, lastSeen } = asked;
   const effects: Effect[] = [];
   if (worker.born !== 0 && listing.born > worker.born) {
-    effects.push(...noteRebirth(term, worker, listing.born, listing.running, now));
+    const { born, running } = listing;
+    effects.push(...noteRebirth(term, worker, { born, running, sentAt }, now));
   }
   // An answer of a former life tells nothing about the present one.
   if (listing.born < worker.born) return effects;
@@ -94,6 +96,7 @@
   worker.clock = { value: listing.clock, at: now.at };
   if (worker.failures > 0 || worker.lastListedAt < sentAt - maxLeaseMs) term.placementDue = true;
   worker.failures = 0;
+  if (lastSeen === worker.lastSeen) worker.ackDue = false;
   worker.lastListedAt = now.at;
   listing.ended
     .filter(({ number }) => number > worker.lastEnd)
--- a/src/control/workers/applyWorkerRecord.ts
+++ b/src/control/workers/applyWorkerRecord.ts
@@ -2,7 +2,6 @@
 import type { Now } from '../Now.js';
 import type { State } from '../State.js';
 import { getWorker } from './getWorker.js';
-import { noteRebirth } from './noteRebirth.js';
 import type { WorkerEntry } from './WorkerEntry.js';
 
 /** Takes over a change in the registry; only the lead follows it. */
@@ -30,8 +29,10 @@
     const fields = { worker: id, state: entry.state, born: entry.born, zone: entry.zone };
     effects.push({ type: 'log', level: 'info', code: 'worker_listed', fields });
   }
-  if (worker.born !== 0 && entry.born > worker.born) {
-    effects.push(...noteRebirth(term, worker, entry.born, [], now));
+  if (before && entry.born > before.born) {
+    // Only a listing tells what reached the new life; connections to the former one are dead.
+    effects.push({ type: 'forgetWorker', address: before.address });
+    worker.nextHoldAt = now.at;
   }
   return effects;
 };
--- a/src/control/workers/getWorker.ts
+++ b/src/control/workers/getWorker.ts
@@ -15,6 +15,7 @@
   nextHoldAt: now.at,
   failures: 0,
   lastSeen: 0,
+  ackDue: false,
   lastEnd: 0,
   tasks: new Map(),
   used: { cpu: 0, memMb: 0, gpu: 0 },
--- a/src/control/workers/handleHoldAnswer.ts
+++ b/src/control/workers/handleHoldAnswer.ts
@@ -33,7 +33,9 @@
     return noteSilence(worker, reason, event.at);
   }
   const regained = worker.failures > 0;
-  const effects = applyListing(term, worker, answer, sentAt, state.bounds.maxLeaseMs, event);
+  const lastSeen = event.call.type === 'hold' ? event.call.lastSeen : 0;
+  const asked = { sentAt, lastSeen };
+  const effects = applyListing(term, worker, answer, asked, state.bounds.maxLeaseMs, event);
   worker.nextHoldAt = event.at + (worker.lastEnd > worker.lastSeen ? writePauseMs : 0);
   if (!regained) return effects;
   const fields = { worker: worker.id, tasks: worker.tasks.size };
--- a/src/control/workers/noteRebirth.ts
+++ b/src/control/workers/noteRebirth.ts
@@ -8,13 +8,21 @@
 import type { ListedRun } from './ListedRun.js';
 import type { Worker } from './Worker.js';
 
+interface RebirthListing {
+  born: number;
+  running: readonly ListedRun[];
+  /** Monotonic time at which the listing was asked for. */
+  sentAt: number;
+}
+
 const settleTask = (
   term: Term,
   worker: Worker,
   task: Task,
-  running: readonly ListedRun[],
+  listing: RebirthListing,
   now: Now,
 ): Effect[] => {
+  const { running, sentAt } = listing;
   if (running.some((run) => run.task === task.name && run.run === task.run)) return [];
   if (task.state === 'recording') return [];
   // A start that is under way may reach the new life; only a stop rules it out.
@@ -22,20 +30,27 @@
   if (task.state === 'stopping' && task.stopReason === 'start-unanswered') {
     return sendStop(term, worker, task, now);
   }
+  // The new life confirmed it after the listing was asked for: the next listing decides.
+  if (task.confirmedAt >= sentAt) return [];
   return requeueTask(term, task, 'worker-restarted', now);
 };
 
-/** Takes note that a worker started anew: what ran in its former life is gone. */
+/** Takes note of the first listing of a worker's new life: what ran in its former life is gone. */
 export const noteRebirth = (
   term: Term,
   worker: Worker,
-  born: number,
-  running: readonly ListedRun[],
+  listing: RebirthListing,
   now: Now,
 ): Effect[] => {
-  const fields = { worker: worker.id, born, formerly: worker.born, tasks: worker.tasks.size };
-  worker.born = born;
+  const fields = {
+    worker: worker.id,
+    born: listing.born,
+    formerly: worker.born,
+    tasks: worker.tasks.size,
+  };
+  worker.born = listing.born;
   worker.lastSeen = 0;
+  worker.ackDue = false;
   worker.lastEnd = 0;
   worker.clock = null;
   worker.leaseUntil = 0;
@@ -45,6 +60,6 @@
   term.placementDue = true;
   return [
     { type: 'log', level: 'info', code: 'worker_restarted', fields },
-    ...[...worker.tasks.values()].flatMap((task) => settleTask(term, worker, task, running, now)),
+    ...[...worker.tasks.values()].flatMap((task) => settleTask(term, worker, task, listing, now)),
   ];
 };
--- a/src/control/workers/sendHold.ts
+++ b/src/control/workers/sendHold.ts
@@ -11,6 +11,13 @@
 const holdWaitMs = 1500;
 const answerTimeoutMs = 900;
 
+/**
+ * Ends are acknowledged once, and only right after a listing: the number would also make a new life
+ * of the worker forget its first ends.
+ */
+const chooseLastSeen = (worker: Worker): number =>
+  worker.ackDue && worker.failures === 0 ? worker.lastSeen : 0;
+
 /** Asks a worker what runs and what ended, and renews its lease. */
 export const sendHold = (state: State, term: Term, worker: Worker, now: Now): Effect[] => {
   const clock = estimateClock(worker, now);
@@ -27,7 +34,7 @@
       workerId: worker.id,
       address: worker.address,
       token: term.token,
-      call: { type: 'hold', until, lastSeen: worker.lastSeen, waitMs },
+      call: { type: 'hold', until, lastSeen: chooseLastSeen(worker), waitMs },
       timeoutMs: waitMs + answerTimeoutMs,
     },
   ];
