Keep part of the guarantees free of work that cannot be saved, open it when idle

Guarantees were lent whole to work that loses everything when it is stopped.

Change: half of what is guaranteed, or the recent peak, is kept for urgent and checkpointing work, as long as half of all accelerators are in use.

--- a/src/control/placement/Pass.ts
+++ b/src/control/placement/Pass.ts
@@ -9,4 +9,7 @@
   held: Map<string, Resources>;
   /** Fast workers that are kept for urgent work, and for what can be stopped without loss. */
   kept: Set<string>;
+  /** Accelerators in use, with what the pass has placed, and all that there are. */
+  usedGpu: number;
+  wholeGpu: number;
 }
--- a/src/control/placement/keepForUrgent.ts
+++ b/src/control/placement/keepForUrgent.ts
@@ -1,6 +1,7 @@
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
 import { isJobEnded } from '../plans/isJobEnded.js';
+import type { State } from '../State.js';
 import type { Worker } from '../workers/Worker.js';
 
 // A peak of urgent work is expected again for about this long.
@@ -8,7 +9,9 @@
 // Urgent work comes in bursts above its recent peak.
 const headroom = 1.25;
 // Part of all accelerators that is kept at most; the rest serves everyone.
-const mostKept = 0.4;
+const mostKept = 0.5;
+// Part of what is guaranteed that is kept before any urgent work was seen.
+const guaranteedPart = 0.5;
 
 const countDemand = (term: Term): number => {
   let gpu = 0;
@@ -29,17 +32,27 @@
   return term.urgentDemand.gpu;
 };
 
+const countGuaranteed = (state: State): number =>
+  state.config?.workspaces.reduce((sum, { guaranteedGpu }) => sum + guaranteedGpu, 0) ?? 0;
+
 const countGpu = (workers: readonly Worker[]): number =>
   workers.reduce((sum, { entry }) => sum + (entry?.capacity.gpu ?? 0), 0);
 
-/** Chooses the fastest workers to be kept for urgent work, as many as its recent peak needs. */
+/**
+ * Chooses the fastest workers to be kept for urgent work, as many as its recent peak or the
+ * guarantees need. */
 export const keepForUrgent = (
+  state: State,
   term: Term,
   workersByService: Map<string, Worker[]>,
   now: Now,
 ): Set<string> => {
   const workers = [...workersByService.values()].flat();
-  let left = Math.min(noteDemand(term, now) * headroom, countGpu(workers) * mostKept);
+  const wanted = Math.max(
+    noteDemand(term, now) * headroom,
+    countGuaranteed(state) * guaranteedPart,
+  );
+  let left = Math.min(wanted, countGpu(workers) * mostKept);
   const kept = new Set<string>();
   workers.sort((a, b) => a.slowness - b.slowness);
   for (const worker of workers) {
--- a/src/control/placement/listCandidates.ts
+++ b/src/control/placement/listCandidates.ts
@@ -2,6 +2,9 @@
 import type { Pass } from './Pass.js';
 import type { Unit } from './Unit.js';
 
+// Below this part of all accelerators in use, no room has to be kept from anyone.
+const busyPart = 0.5;
+
 /** Work that saves its state may use what is kept: it is stopped at little loss. */
 const mayUseKept = (unit: Unit): boolean =>
   unit.plan.priority === 0 || unit.step.step.checkpointing;
@@ -10,7 +13,8 @@
 export const listCandidates = (pass: Pass, unit: Unit): Worker[] => {
   const { requiredLabel } = unit.step.step;
   const workers = pass.workersByService.get(unit.plan.submission.service) ?? [];
-  const all = mayUseKept(unit);
+  const busy = pass.usedGpu >= pass.wholeGpu * busyPart;
+  const all = !busy || mayUseKept(unit);
   return workers.filter(
     ({ id, entry }) =>
       (all || !pass.kept.has(id)) &&
--- a/src/control/placement/placeWaiting.ts
+++ b/src/control/placement/placeWaiting.ts
@@ -15,7 +15,18 @@
 import { reserveStart } from './reserveStart.js';
 import type { Unit } from './Unit.js';
 
-const openPass = (term: Term, now: Now): Pass => {
+const countGpu = (term: Term): Pick<Pass, 'usedGpu' | 'wholeGpu'> => {
+  let usedGpu = 0;
+  let wholeGpu = 0;
+  term.workers.forEach(({ entry, used }) => {
+    if (!entry) return;
+    usedGpu += used.gpu;
+    wholeGpu += entry.capacity.gpu;
+  });
+  return { usedGpu, wholeGpu };
+};
+
+const openPass = (state: State, term: Term, now: Now): Pass => {
   const workersByService = new Map<string, Worker[]>();
   term.workers.forEach((worker) => {
     if (!worker.entry || !isUsable(worker, now)) return;
@@ -23,7 +34,12 @@
     if (group) group.push(worker);
     else workersByService.set(worker.entry.service, [worker]);
   });
-  return { workersByService, held: new Map(), kept: keepForUrgent(term, workersByService, now) };
+  return {
+    workersByService,
+    held: new Map(),
+    kept: keepForUrgent(state, term, workersByService, now),
+    ...countGpu(term),
+  };
 };
 
 const choose = (pass: Pass, unit: Unit, workers: readonly Worker[], now: Now): Worker[] =>
@@ -35,10 +51,10 @@
 export const placeWaiting = (state: State, term: Term, now: Now): Effect[] => {
   term.placementDue = false;
   const guaranteed = listGuaranteed(state, term);
-  const pass = openPass(term, now);
+  const pass = openPass(state, term, now);
   return collectUnits(term, guaranteed, now).flatMap((unit) => {
     const workers = listCandidates(pass, unit);
-    reserveStart(term, unit, choose(pass, unit, workers, now), now);
+    reserveStart(term, pass, unit, choose(pass, unit, workers, now), now);
     if (!unit.guaranteed || unit.tasks.length === 0) return [];
     return reclaimRoom(term, pass, unit, guaranteed, workers, now);
   });
