Notice a silent lead and lost answers sooner

Change: appends are repeated after 0.7 s, at once; reads give up after 0.7 s beyond their wait; the lead counts as silent after 1.2 s (0.5 s beats, 0.3 s answers of a slow store).

--- a/src/control/callers/sendCallerAppend.ts
+++ b/src/control/callers/sendCallerAppend.ts
@@ -2,8 +2,8 @@
 import type { State } from '../State.js';
 import type { CallerAppend } from './CallerAppend.js';
 
-// Leaves time for a second attempt on another connection before most callers give up.
-const appendTimeoutMs = 1100;
+// Leaves time for more attempts on other connections before most callers give up.
+const appendTimeoutMs = 800;
 
 /** Sends an append for callers, for the first time or again. */
 export const sendCallerAppend = (state: State, append: CallerAppend): Effect[] => {
--- a/src/control/lead/electionHandlers.ts
+++ b/src/control/lead/electionHandlers.ts
@@ -7,9 +7,9 @@
 import { beginTerm } from './beginTerm.js';
 import { computeRank } from './computeRank.js';
 
-// Three beats of the lead; leases outlast it and a take-over.
-const leadSilenceMs = 1500;
-const rankStepMs = 60;
+// Two beats of the lead and an answer of a slow store; leases outlast it and a take-over.
+const leadSilenceMs = 1200;
+const rankStepMs = 50;
 const callTimeoutMs = 900;
 // Gives the VM that claimed first the time to write as the lead.
 const yieldMs = 600;
--- a/src/control/progress/failWrite.ts
+++ b/src/control/progress/failWrite.ts
@@ -5,7 +5,7 @@
 import type { AppendFailure } from '../streams/AppendFailure.js';
 import type { PendingWrite } from './PendingWrite.js';
 
-// A store that refuses or is silent is asked again soon; the append stays the same.
+// A store that refuses is asked again soon; the append stays the same.
 const retryMs = 150;
 
 const deposing: readonly AppendFailure[] = ['fenced', 'sequence', 'conflict', 'invalid'];
@@ -19,6 +19,7 @@
 ): Effect[] => {
   const count: Effect = { type: 'count', name: 'journal_write_failures', reason };
   if (deposing.includes(reason)) return [count, ...endTerm(state, 'journal-fenced', now)];
-  write.retryAt = now.at + retryMs;
+  // A lost answer is asked for again at once; a store that refuses gets a pause.
+  write.retryAt = now.at + (reason === 'unknown' ? 0 : retryMs);
   return [count];
 };
--- a/src/control/progress/sendWrite.ts
+++ b/src/control/progress/sendWrite.ts
@@ -4,7 +4,7 @@
 import type { PendingWrite } from './PendingWrite.js';
 
 // Beyond an answer of a slow store; a repeated append is answered as the first.
-const appendTimeoutMs = 1200;
+const appendTimeoutMs = 700;
 
 /** Sends an append of the lead, for the first time or again. */
 export const sendWrite = (state: State, term: Term, write: PendingWrite): Effect[] => {
--- a/src/control/streams/readNext.ts
+++ b/src/control/streams/readNext.ts
@@ -5,7 +5,7 @@
 import { streamSettings } from './streamSettings.js';
 
 // Time for an answer beyond the wait that was asked for.
-const answerTimeoutMs = 900;
+const answerTimeoutMs = 700;
 
 /** Sends the next read of a stream, unless one is open or it is too early. */
 export const readNext = (state: State, stream: StreamName, now: Now): Effect[] => {
--- a/src/control/workers/sendHold.ts
+++ b/src/control/workers/sendHold.ts
@@ -9,7 +9,7 @@
 const leaseMs = 6000;
 // A look shows ends at once; the wait bounds how often an idle worker is asked.
 const holdWaitMs = 1500;
-const answerTimeoutMs = 900;
+const answerTimeoutMs = 700;
 
 /**
  * Ends are acknowledged once, and only right after a listing: the number would also make a new life
