--- a/src/adapters/journal/decodeRecord.ts
+++ b/src/adapters/journal/decodeRecord.ts
@@ -36,6 +36,15 @@
     (value, id) => ({ type: 'cancellation', id, at: recordSchemas.cancellation.parse(value).at }),
   ],
   [journalKeys.progress, decodeProgress],
+  [
+    journalKeys.speeds,
+    (value) => ({
+      type: 'speeds',
+      speeds: recordSchemas.speeds
+        .parse(value)
+        .map(([workerId, slowness, measuredRuns]) => ({ workerId, slowness, measuredRuns })),
+    }),
+  ],
   [journalKeys.lead, (value) => ({ type: 'lead', ...recordSchemas.lead.parse(value) })],
 ]);
 
--- a/src/adapters/journal/encodeRecord.ts
+++ b/src/adapters/journal/encodeRecord.ts
@@ -42,6 +42,10 @@
     key: journalKeys.lead,
     value: pack({ token, vmId, resigned }),
   }),
+  speeds: ({ speeds }) => ({
+    key: journalKeys.speeds,
+    value: pack(speeds.map(({ workerId, slowness, measuredRuns }) => [workerId, slowness, measuredRuns])),
+  }),
   dropped: ({ of, id }) => ({ key: `${journalKeys[of]}/${id}`, value: Buffer.alloc(0) }),
   claim: ({ vmId, incarnation }) => ({
     key: journalKeys.claim,
--- a/src/adapters/journal/journalKeys.ts
+++ b/src/adapters/journal/journalKeys.ts
@@ -5,4 +5,5 @@
   progress: 'p',
   lead: 'l',
   claim: 'l',
+  speeds: 'w',
 } as const;
--- a/src/adapters/journal/recordSchemas.ts
+++ b/src/adapters/journal/recordSchemas.ts
@@ -52,5 +52,6 @@
     z.array(taskRow),
   ]),
   lead: z.object({ token: z.number(), vmId: z.string(), resigned: z.boolean() }),
+  speeds: z.array(z.tuple([z.string(), z.number(), z.number()])),
   claim: z.object({ vmId: z.string(), incarnation: z.string() }),
 };
--- a/src/control/createState.ts
+++ b/src/control/createState.ts
@@ -27,6 +27,7 @@
     workers: createCursor(),
   },
   jobs: new Map(),
+  speeds: new Map(),
   callers: { open: new Map(), byJob: new Map(), appends: new Map(), ready: false },
   lead: { token: 0, vmId: '', lastSeenAt: null, resigned: false },
   election: { phase: 'idle', callId: 0, waitUntil: 0 },
--- a/src/control/journal/JournalRecord.ts
+++ b/src/control/journal/JournalRecord.ts
@@ -1,4 +1,5 @@
 import type { Progress } from '../jobs/Progress.js';
+import type { WorkerSpeed } from '../workers/WorkerSpeed.js';
 import type { Submission } from '../jobs/Submission.js';
 
 /** A record of the journal; of equal keys only the newest is kept. */
@@ -7,4 +8,5 @@
   | { type: 'cancellation'; id: string; at: number }
   | { type: 'progress'; id: string; progress: Progress }
   | { type: 'lead'; token: number; vmId: string; resigned: boolean }
+  | { type: 'speeds'; speeds: WorkerSpeed[] }
   | { type: 'dropped'; of: 'submission' | 'cancellation' | 'progress'; id: string };
--- a/src/control/journal/recordHandlers.ts
+++ b/src/control/journal/recordHandlers.ts
@@ -18,6 +18,10 @@
     return [];
   },
   lead: noteLead,
+  speeds: (state, { speeds }) => {
+    state.speeds = new Map(speeds.map((speed) => [speed.workerId, speed]));
+    return [];
+  },
   dropped: (state, { of, id }) => dropPart(state, of, id),
   claim: () => [],
   worker: (state, { id, entry }, now) => applyWorkerRecord(state, id, entry, now),
--- a/src/control/lead/Term.ts
+++ b/src/control/lead/Term.ts
@@ -27,6 +27,8 @@
   lastWriteAt: number;
   /** Recent peak of the accelerators that urgent work needs, and when it was noted. */
   urgentDemand: { gpu: number; at: number };
+  /** When speeds were last written, and the number of runs that they rested on. */
+  speedsWritten: { at: number; runs: number };
   /** Something changed that may allow a placement. */
   placementDue: boolean;
 }
--- a/src/control/lead/advanceTerm.ts
+++ b/src/control/lead/advanceTerm.ts
@@ -11,6 +11,16 @@
 // Workers that do not answer a new lead in this time are waited for one by one.
 const askingMs = 600;
 
+/** Takes over what the former lead has learned. */
+const restoreSpeeds = (state: State, term: Term): void => {
+  term.workers.forEach((worker) => {
+    const speed = state.speeds.get(worker.id);
+    if (!speed) return;
+    worker.slowness = speed.slowness;
+    worker.measuredRuns = speed.measuredRuns;
+  });
+};
+
 type PhaseStep = (state: State, term: Term, now: Now) => Effect[];
 
 const enterPhase = (term: Term, phase: Term['phase'], now: Now): Effect[] => {
@@ -26,6 +36,7 @@
     return [];
   }
   const effects = enterPhase(term, 'asking', now);
+  restoreSpeeds(state, term);
   effects.push(...buildPlans(state, term, now));
   return [...effects, ...driveHolds(state, term, now)];
 };
--- a/src/control/lead/beginTerm.ts
+++ b/src/control/lead/beginTerm.ts
@@ -23,6 +23,7 @@
     write: null,
     lastWriteAt: now.at,
     urgentDemand: { gpu: 0, at: now.at },
+    speedsWritten: { at: now.at, runs: 0 },
     placementDue: false,
   };
   state.term = term;
--- a/src/control/progress/writeProgress.ts
+++ b/src/control/progress/writeProgress.ts
@@ -7,6 +7,7 @@
 import { buildLeadRecord } from './buildLeadRecord.js';
 import { createWrite } from './createWrite.js';
 import { listExpired } from './listExpired.js';
+import { listSpeeds } from './listSpeeds.js';
 import type { PendingWrite } from './PendingWrite.js';
 import { sendWrite } from './sendWrite.js';
 
@@ -40,7 +41,10 @@
     if (plan) records.push({ type: 'progress', id, progress: buildProgress(plan) });
   });
   const due = now.at - term.lastWriteAt >= beatEveryMs;
-  if (due) records.push(buildLeadRecord(state, term), ...listExpired(state, now));
+  if (due) {
+    const speeds = listSpeeds(term, now);
+    records.push(buildLeadRecord(state, term), ...speeds, ...listExpired(state, now));
+  }
   return records;
 };
 
--- a/test/control/office.test.ts
+++ b/test/control/office.test.ts
@@ -116,3 +116,34 @@
   expect(showState(office, 'a')).toBe('completed');
   expect(findBrokenRules(office)).toEqual([]);
 });
+
+// Guards against a worker that holds its tasks for ever and looks healthy.
+test('runs that stand still are moved', () => {
+  const office = createOffice({ vms: 1, workers: 2 });
+  runFor(office, 3000);
+  office.workers.get('w0')!.hanging = true;
+  office.workers.get('w1')!.hanging = true;
+  submitJob(office, 'a', { runMs: 1000 });
+  runFor(office, 500);
+  const [run] = office.runs;
+  const sound = run!.workerId === 'w0' ? 'w1' : 'w0';
+  office.workers.get(sound)!.hanging = false;
+  runFor(office, 8000);
+  expect(office.runs.map(({ kind, workerId }) => [kind, workerId])).toEqual([
+    ['stopped', run!.workerId],
+    ['done', sound],
+  ]);
+});
+
+// Guards against a new lead that sends urgent work to slow workers until it has learned anew.
+test('a new lead knows the speeds of the workers', () => {
+  const office = createOffice({ vms: 2, workers: 2 });
+  runFor(office, 3000);
+  for (let job = 0; job < 4; job += 1) submitJob(office, `a${job}`, { runMs: 900 });
+  runFor(office, 8000);
+  const former = findLead(office)!;
+  killVm(former);
+  runFor(office, 4000);
+  const measured = [...findLead(office)!.state.term!.workers.values()].map((w) => w.measuredRuns);
+  expect(measured.reduce((sum, runs) => sum + runs, 0)).toBe(4);
+});
--- a/test/control/world/FakeWorker.ts
+++ b/test/control/world/FakeWorker.ts
@@ -17,4 +17,6 @@
   over: Map<string, number>;
   /** All runs end as failed. */
   failing: boolean;
+  /** Nothing that runs moves on. */
+  hanging: boolean;
 }
--- a/test/control/world/serveWorker.ts
+++ b/test/control/world/serveWorker.ts
@@ -30,7 +30,7 @@
   [...worker.running.values()].forEach((run) => {
     const lapsesAt = worker.leaseUntil + worker.bootAt;
     const endsAt = Math.min(run.dueAt, lapsesAt);
-    if (office.now < endsAt) return;
+    if (office.now < endsAt || (worker.hanging && endsAt !== lapsesAt)) return;
     const { now } = office;
     office.now = endsAt;
     const kind = worker.failing ? 'failed' : 'done';
@@ -78,15 +78,23 @@
   return { type: 'done', clock: readClock(office, worker) };
 };
 
+const computePercent = (
+  office: Office,
+  worker: FakeWorker,
+  startedAt: number,
+  dueAt: number,
+): number =>
+  worker.hanging ? 0 : Math.floor((100 * (office.now - startedAt)) / (dueAt - startedAt));
+
 const listRuns = (office: Office, worker: FakeWorker): WorkerAnswer => ({
   type: 'listing',
   clock: readClock(office, worker),
   born: worker.entry.born,
-  running: [...worker.running.values()].map(({ task, run }) => ({
+  running: [...worker.running.values()].map(({ task, run, startedAt, dueAt }) => ({
     task,
     run,
     checkpoint: '',
-    percent: 1,
+    percent: computePercent(office, worker, startedAt, dueAt),
   })),
   ended: worker.ended.map(({ number, run }) => ({
     number,
