--- a/src/control/lead/Term.ts
+++ b/src/control/lead/Term.ts
@@ -29,6 +29,10 @@
   urgentDemand: { gpu: number; at: number };
   /** When speeds were last written, and the number of runs that they rested on. */
   speedsWritten: { at: number; runs: number };
+  /** Ends were listed that are not acknowledged. */
+  endsDue: boolean;
+  /** Monotonic time of the last placement pass. */
+  lastPassAt: number;
   /** Something changed that may allow a placement. */
   placementDue: boolean;
 }
--- a/src/control/lead/beginTerm.ts
+++ b/src/control/lead/beginTerm.ts
@@ -24,6 +24,8 @@
     lastWriteAt: now.at,
     urgentDemand: { gpu: 0, at: now.at },
     speedsWritten: { at: now.at, runs: 0 },
+    endsDue: false,
+    lastPassAt: now.at,
     placementDue: false,
   };
   state.term = term;
--- a/src/control/lead/leadHandlers.ts
+++ b/src/control/lead/leadHandlers.ts
@@ -4,11 +4,14 @@
 import { retryOrders } from '../runs/retryOrders.js';
 import type { State } from '../State.js';
 
+// Well below the time by which a scheduled start may be late.
+const passEveryMs = 250;
+
 const tickTerm = (state: State, now: Now): Effect[] => {
   const { term } = state;
   if (!term || term.phase === 'fencing' || term.phase === 'reading') return [];
   // Due times, ends of leases and of pauses pass without an event of their own.
-  term.placementDue = true;
+  if (now.at - term.lastPassAt >= passEveryMs) term.placementDue = true;
   return retryOrders(state, term, now);
 };
 
--- a/src/control/placement/Pass.ts
+++ b/src/control/placement/Pass.ts
@@ -12,4 +12,6 @@
   /** Accelerators in use, with what the pass has placed, and all that there are. */
   usedGpu: number;
   wholeGpu: number;
+  /** Free accelerators of the emptiest worker before the pass; wider tasks need not be tried. */
+  mostFreeGpu: number;
 }
--- a/src/control/placement/placeWaiting.ts
+++ b/src/control/placement/placeWaiting.ts
@@ -15,15 +15,17 @@
 import { reserveStart } from './reserveStart.js';
 import type { Unit } from './Unit.js';
 
-const countGpu = (term: Term): Pick<Pass, 'usedGpu' | 'wholeGpu'> => {
+const countGpu = (term: Term): Pick<Pass, 'usedGpu' | 'wholeGpu' | 'mostFreeGpu'> => {
   let usedGpu = 0;
+  let mostFreeGpu = 0;
   let wholeGpu = 0;
   term.workers.forEach(({ entry, used }) => {
     if (!entry) return;
     usedGpu += used.gpu;
     wholeGpu += entry.capacity.gpu;
+    mostFreeGpu = Math.max(mostFreeGpu, entry.capacity.gpu - used.gpu);
   });
-  return { usedGpu, wholeGpu };
+  return { usedGpu, wholeGpu, mostFreeGpu };
 };
 
 const openPass = (state: State, term: Term, now: Now): Pass => {
@@ -50,9 +52,11 @@
 /** Starts what waits and fits, and makes room for guarantees. */
 export const placeWaiting = (state: State, term: Term, now: Now): Effect[] => {
   term.placementDue = false;
+  term.lastPassAt = now.at;
   const guaranteed = listGuaranteed(state, term);
   const pass = openPass(state, term, now);
   return collectUnits(term, guaranteed, now).flatMap((unit) => {
+    if (!unit.guaranteed && unit.step.step.need.gpu > pass.mostFreeGpu) return [];
     const workers = listCandidates(pass, unit);
     reserveStart(term, pass, unit, choose(pass, unit, workers, now), now);
     if (!unit.guaranteed || unit.tasks.length === 0) return [];
--- a/src/control/progress/writeProgress.ts
+++ b/src/control/progress/writeProgress.ts
@@ -15,6 +15,7 @@
 const beatEveryMs = 500;
 
 const acknowledgeEnds = (term: Term): void => {
+  term.endsDue = false;
   term.workers.forEach((worker) => {
     if (worker.lastSeen === worker.lastEnd) return;
     worker.lastSeen = worker.lastEnd;
@@ -57,13 +58,14 @@
   }
   const records = buildRecords(state, term, now);
   if (records.length === 0) {
-    acknowledgeEnds(term);
+    if (term.endsDue) acknowledgeEnds(term);
     return [];
   }
   const next = createWrite(term, records, now);
   next.starts = listStarts(term);
   next.ends = listEnds(term);
   term.dirty.clear();
+  term.endsDue = false;
   term.lastWriteAt = now.at;
   return sendWrite(state, term, next);
 };
--- a/src/control/runs/retryOrders.ts
+++ b/src/control/runs/retryOrders.ts
@@ -4,7 +4,6 @@
 import type { State } from '../State.js';
 import type { Task } from '../plans/Task.js';
 import { isLeaseOver } from '../workers/isLeaseOver.js';
-import { stopStuckRuns } from '../workers/stopStuckRuns.js';
 import type { Worker } from '../workers/Worker.js';
 import { requeueTask } from './requeueTask.js';
 import { sendStop } from './sendStop.js';
@@ -33,6 +32,7 @@
 };
 
 const checkWorker = (state: State, term: Term, worker: Worker, now: Now): Effect[] => {
+  if (worker.tasks.size === 0) return [];
   const tasks = [...worker.tasks.values()];
   const cause = findLoss(state, term, worker, now);
   if (cause) {
@@ -40,12 +40,11 @@
       .filter(({ state: taskState }) => taskState !== 'recording')
       .flatMap((task) => requeueTask(term, task, cause, now));
   }
-  const stops = tasks
+  return tasks
     .filter((task) => isStopUnanswered(task, now))
     .flatMap((task) => sendStop(term, worker, task, now));
-  return [...stops, ...stopStuckRuns(term, worker, now)];
 };
 
-/** Repeats stops without an answer, stops runs that stand still, and gives up runs whose worker left or whose lease is over. */
+/** Repeats stops without an answer, and gives up runs whose worker left or whose lease is over. */
 export const retryOrders = (state: State, term: Term, now: Now): Effect[] =>
   [...term.workers.values()].flatMap((worker) => checkWorker(state, term, worker, now));
--- a/src/control/workers/applyListing.ts
+++ b/src/control/workers/applyListing.ts
@@ -8,6 +8,7 @@
 import { sendStop } from '../runs/sendStop.js';
 import type { ListedRun } from './ListedRun.js';
 import { noteRebirth } from './noteRebirth.js';
+import { stopStuckRuns } from './stopStuckRuns.js';
 import type { Worker } from './Worker.js';
 import type { WorkerAnswer } from './WorkerAnswer.js';
 
@@ -102,9 +103,11 @@
     .filter(({ number }) => number > worker.lastEnd)
     .forEach((end) => {
       worker.lastEnd = end.number;
+      term.endsDue = true;
       effects.push(...applyEnd(term, worker, end, now));
     });
   effects.push(...applyRunning(term, worker, listing, now));
   effects.push(...dropUnlisted(term, worker, listing, sentAt, now));
+  effects.push(...stopStuckRuns(term, worker, now));
   return effects;
 };
--- a/test/control/world/createOffice.ts
+++ b/test/control/world/createOffice.ts
@@ -59,7 +59,10 @@
   vm.up = true;
   vm.life += 1;
   const { life } = vm;
-  vm.state = createState({ vmId: vm.id, zone: 'z', incarnation: `${vm.id}-${life}` }, bounds);
+  vm.state = createState(
+    { vmId: vm.id, zone: 'z', cores: 0.675, incarnation: `${vm.id}-${life}` },
+    bounds,
+  );
   office.push(vm, { type: 'started' });
   const tick = (): void => {
     if (vm.life !== life) return;
@@ -168,7 +171,7 @@
   for (let number = 0; number < options.vms; number += 1) {
     const vm: FakeVm = {
       id: `vm${number}`,
-      state: createState({ vmId: '', zone: '', incarnation: '' }, bounds),
+      state: createState({ vmId: '', zone: '', cores: 1, incarnation: '' }, bounds),
       up: false,
       cutFromStore: false,
       cutFromWorkers: false,
--- a/test/platform/loadSettings.test.ts
+++ b/test/platform/loadSettings.test.ts
@@ -13,6 +13,9 @@
 [listen]
 frontend = "10.0.0.1:80"
 readiness = "10.0.0.1:81"
+[limits]
+cpu_share = 0.5
+cpu_cores = 2
 [platform]
 address = "10.9.0.1:90"
 [bounds]
