--- a/src/control/placement/placeWaiting.ts
+++ b/src/control/placement/placeWaiting.ts
@@ -60,6 +60,6 @@
     const workers = listCandidates(pass, unit);
     reserveStart(term, pass, unit, choose(pass, unit, workers, now), now);
     if (!unit.guaranteed || unit.tasks.length === 0) return [];
-    return reclaimRoom(term, pass, unit, guaranteed, workers, now);
+    return reclaimRoom({ term, pass, unit, guaranteed, now }, workers);
   });
 };
--- a/src/control/placement/planReclaim.ts
+++ b/src/control/placement/planReclaim.ts
@@ -1,5 +1,3 @@
-import type { Term } from '../lead/Term.js';
-import type { Now } from '../Now.js';
 import type { StepPlan } from '../plans/StepPlan.js';
 import type { Task } from '../plans/Task.js';
 import type { Resources } from '../Resources.js';
@@ -8,16 +6,10 @@
 import { getFree } from './getFree.js';
 import { isFitting } from './isFitting.js';
 import { listVictims } from './listVictims.js';
-import type { Pass } from './Pass.js';
 import type { Reclaim } from './Reclaim.js';
-import type { Unit } from './Unit.js';
+import type { ReclaimRequest } from './ReclaimRequest.js';
 
-interface Search {
-  term: Term;
-  pass: Pass;
-  unit: Unit;
-  guaranteed: Set<string>;
-  now: Now;
+interface Search extends ReclaimRequest {
   /** Runs that are already to be stopped by this plan. */
   claimed: Set<Task>;
   /** Tasks of the unit that this plan has put on each worker. */
@@ -65,24 +57,12 @@
  * work. Null when there is none even if everything that borrows is stopped.
  */
 export const planReclaim = (
-  term: Term,
-  pass: Pass,
-  unit: Unit,
-  guaranteed: Set<string>,
+  request: ReclaimRequest,
   workers: readonly Worker[],
-  now: Now,
 ): Reclaim | null => {
-  const search: Search = {
-    term,
-    pass,
-    unit,
-    guaranteed,
-    now,
-    claimed: new Set(),
-    taken: new Map(),
-  };
+  const search: Search = { ...request, claimed: new Set(), taken: new Map() };
   const plan: Reclaim = { places: [], victims: [], loss: 0 };
-  while (plan.places.length < unit.tasks.length) {
+  while (plan.places.length < request.unit.tasks.length) {
     const choices = workers
       .map((worker) => planWorker(search, worker))
       .filter((choice) => choice !== null);
--- a/src/control/placement/reclaimRoom.ts
+++ b/src/control/placement/reclaimRoom.ts
@@ -1,5 +1,4 @@
 import type { Effect } from '../Effect.js';
-import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
 import { stopGang } from '../runs/stopGang.js';
 import { stopTask } from '../runs/stopTask.js';
@@ -7,8 +6,8 @@
 import { addResources } from './addResources.js';
 import { chooseReclaim } from './chooseReclaim.js';
 import { coresPerGpu } from './coresPerGpu.js';
-import type { Pass } from './Pass.js';
 import type { Reclaim } from './Reclaim.js';
+import type { ReclaimRequest } from './ReclaimRequest.js';
 import type { Unit } from './Unit.js';
 
 const nothing = { cpu: 0, memMb: 0, gpu: 0 };
@@ -27,15 +26,9 @@
 };
 
 /** Stops work that borrows until the unit's tasks have room, and keeps that room for them. */
-export const reclaimRoom = (
-  term: Term,
-  pass: Pass,
-  unit: Unit,
-  guaranteed: Set<string>,
-  workers: readonly Worker[],
-  now: Now,
-): Effect[] => {
-  const plan = chooseReclaim(term, pass, unit, guaranteed, workers, now);
+export const reclaimRoom = (request: ReclaimRequest, workers: readonly Worker[]): Effect[] => {
+  const { term, pass, unit, now } = request;
+  const plan = chooseReclaim(request, workers);
   if (!plan) {
     const fields = { requestId: unit.plan.id, tasks: unit.tasks.length, workers: workers.length };
     return [{ type: 'log', level: 'warn', code: 'guarantee_without_room', fields }];
