--- a/src/control/config/PublishedConfig.ts
+++ b/src/control/config/PublishedConfig.ts
@@ -1,12 +1,9 @@
 import type { Queue } from './Queue.js';
-import type { Service } from './Service.js';
 import type { Workspace } from './Workspace.js';
 
 /** A configuration as operators publish it. */
 export interface PublishedConfig {
   version: number;
   queues: Queue[];
-  services: Service[];
   workspaces: Workspace[];
-  maxBodyBytes: number;
 }
--- a/src/control/workers/WorkerEntry.ts
+++ b/src/control/workers/WorkerEntry.ts
@@ -11,6 +11,4 @@
   labels: string[];
   /** Epoch milliseconds of the start of this life of the worker. */
   born: number;
-  /** Shortest time that is left while the worker drains. */
-  remainingMs: number;
 }
--- a/test/control/world/createOffice.ts
+++ b/test/control/world/createOffice.ts
@@ -13,10 +13,7 @@
 
 const bounds = {
   maxLeaseMs: 6000,
-  stopTimeoutMs: 200,
-  gangTimeoutMs: 3000,
   statusKeepMs: 120_000,
-  remoteFactor: 3,
   graceMs: 6000,
 };
 
@@ -26,9 +23,7 @@
     { name: 'urgent', prefix: '/u/', priority: 0, targetMs: 250, stretch: 1.5 },
     { name: 'batch', prefix: '/b/', priority: 1, targetMs: 1000, stretch: 3 },
   ].map((queue) => ({ ...queue, host: 'h', service: 'svc', maxAttempts: 3, open: false })),
-  services: [{ name: 'svc', guardsCapacity: false }],
   workspaces: [{ name: 'ws', keys: ['key'], guaranteedGpu: 16 }],
-  maxBodyBytes: 262_144,
 };
 
 const runEffect = (office: Office, vm: FakeVm, effect: Effect): void => {
@@ -101,7 +96,6 @@
     capacity: { cpu: 64_000, memMb: 131_072, gpu },
     labels: ['a', `r${Math.floor(number / 4)}`],
     born: Math.round(epochWall + office.now),
-    remainingMs: 0,
   };
   office.workers.set(id, {
     id,
