Wait for the lead at the gateway that takes the test's jobs

The refusal has no retry time, so it came from the gateway (refusalWithoutTarget), not from a scheduler: the test had waited for the lead as the first VM's gateway saw it, and submitted through another VM's, which had not heard of the lead yet.

Ruled out: a lead that lost its workers (a scheduler's refusal names a retry time); this change's code (src/core is untouched).

Change: the test waits at the gateway that it uses. What it checks, the invoice against the workers' journals, is as before.

--- a/test/e2e/invoice.test.ts
+++ b/test/e2e/invoice.test.ts
@@ -78,6 +78,8 @@
   const startedWall = Date.now();
   const lead = await waitForLead(office, 'zone-a', office.vms[0]!.httpPort);
   const { httpPort: port } = office.vms.find(({ id }) => id !== lead.id)!;
+  // Each gateway learns of the lead by itself; this one takes the jobs.
+  await waitForLead(office, 'zone-a', port);
   const gang = { zone: 'zone-a', acceleratorsPerTask: 4 };
   const jobIds = [
     await submitGang(office, port, { ...gang, tasks: 3, runMs: 2000 }),
