--- a/src/control/journal/applyCancellation.ts
+++ b/src/control/journal/applyCancellation.ts
@@ -9,5 +9,5 @@
   const job = getJob(state, id);
   if (job.cancelled) return [];
   job.cancelled = true;
-  return state.term ? cancelPlan(state, state.term, id, now) : [];
+  return state.term ? cancelPlan(state.term, id, now) : [];
 };
--- a/src/control/placement/keepForUrgent.ts
+++ b/src/control/placement/keepForUrgent.ts
@@ -40,7 +40,8 @@
 
 /**
  * Chooses the fastest workers to be kept for urgent work, as many as its recent peak or the
- * guarantees need. */
+ * guarantees need.
+ */
 export const keepForUrgent = (
   state: State,
   term: Term,
--- a/src/control/plans/StopReason.ts
+++ b/src/control/plans/StopReason.ts
@@ -5,6 +5,5 @@
   | 'preempted'
   | 'gang-incomplete'
   | 'start-unanswered'
-  | 'worker-leaving'
   | 'no-progress'
   | 'unknown-run';
--- a/src/control/plans/cancelPlan.ts
+++ b/src/control/plans/cancelPlan.ts
@@ -1,11 +1,10 @@
 import type { Effect } from '../Effect.js';
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
-import type { State } from '../State.js';
 import { finishPlan } from './finishPlan.js';
 
 /** Ends a job that its caller has cancelled. */
-export const cancelPlan = (_state: State, term: Term, id: string, now: Now): Effect[] => {
+export const cancelPlan = (term: Term, id: string, now: Now): Effect[] => {
   const plan = term.plans.get(id);
   return plan ? finishPlan(term, plan, 'cancelled', now) : [];
 };
--- a/src/control/workers/applyListing.ts
+++ b/src/control/workers/applyListing.ts
@@ -3,7 +3,7 @@
 import type { Now } from '../Now.js';
 import type { Task } from '../plans/Task.js';
 import { applyEnd } from '../runs/applyEnd.js';
-import { orderTimeoutMs } from '../runs/orderTimeoutMs.js';
+import { buildStop } from '../runs/buildStop.js';
 import { requeueTask } from '../runs/requeueTask.js';
 import { sendStop } from '../runs/sendStop.js';
 import type { ListedRun } from './ListedRun.js';
@@ -40,14 +40,7 @@
   return [
     { type: 'count', name: 'stops', reason: 'unknown-run' },
     { type: 'log', level: 'warn', code: 'unknown_run', fields },
-    {
-      type: 'callWorker',
-      workerId: worker.id,
-      address: worker.address,
-      token: term.token,
-      call: { type: 'stop', task: listed.task, run: listed.run },
-      timeoutMs: orderTimeoutMs,
-    },
+    buildStop(term, worker, listed.task, listed.run),
   ];
 };
 
