--- a/test/e2e/helpers/waitForLead.ts
+++ b/test/e2e/helpers/waitForLead.ts
@@ -2,6 +2,7 @@
 import type { Office } from '../../../tools/office/Office.js';
 import type { OfficeVm } from '../../../tools/office/OfficeVm.js';
 import { waitUntil } from '../../../tools/office/waitUntil.js';
+import { isRoutedToLead } from './isRoutedToLead.js';
 
 // Silence of 3.5 s, one rank of 1.5 s, a probe each second and its timeout of 1.5 s: 7.5 s.
 const takeOverLimitMs = 7500;
@@ -15,7 +16,8 @@
 ): Promise<OfficeVm> => {
   const { vmId } = await waitUntil(`${zone} has a lead`, takeOverLimitMs, async () => {
     const lead = await findLead(office, zone, port);
-    return lead && lead.vmId !== formerId ? lead : undefined;
+    if (!lead || lead.vmId === formerId) return undefined;
+    return (await isRoutedToLead(office, zone, port)) ? lead : undefined;
   });
   return office.vms.find(({ id }) => id === vmId)!;
 };
