Keep task progress in a stream of its own, refuse at once while the store is silent

An append to a silent store ends in 504, after which callers may not come back. A restarted lead waited for its own former life. Leases of 6 s ended in cuts of 6 s where 10 s are allowed.

Ruled out: a record per task (tombstones); looks each 0.75 s, because cuts of the sites with 6 s leases last as long as a lease; renewing silent workers, whose leases would have no known end.

The former lead's VM claims at once after a restart. Leases last as long as workers grant, 10 s at most.

--- a/src/adapters/journal/decodeRecord.ts
+++ b/src/adapters/journal/decodeRecord.ts
@@ -1,11 +1,12 @@
 import { unpack } from 'msgpackr';
 import type { ClaimRecord } from '../../control/journal/ClaimRecord.js';
 import type { JournalRecord } from '../../control/journal/JournalRecord.js';
+import type { RunsRecord } from '../../control/journal/RunsRecord.js';
 import type { EncodedRecord } from './EncodedRecord.js';
 import { journalKeys } from './journalKeys.js';
 import { recordSchemas } from './recordSchemas.js';
 
-type Decoded = JournalRecord | ClaimRecord;
+type Decoded = JournalRecord | RunsRecord | ClaimRecord;
 
 type Decoder = (value: unknown, id: string) => Decoded;
 
@@ -35,6 +36,13 @@
     journalKeys.cancellation,
     (value, id) => ({ type: 'cancellation', id, at: recordSchemas.cancellation.parse(value).at }),
   ],
+  [
+    journalKeys.status,
+    (value, id) => {
+      const [state, endedAt] = recordSchemas.status.parse(value);
+      return { type: 'status', id, state, endedAt };
+    },
+  ],
   [journalKeys.progress, decodeProgress],
   [
     journalKeys.speeds,
@@ -51,19 +59,20 @@
 const partNames = new Map([
   [journalKeys.submission, 'submission'],
   [journalKeys.cancellation, 'cancellation'],
+  [journalKeys.status, 'status'],
   [journalKeys.progress, 'progress'],
 ] as const);
 
-/** Decodes a record of the journal or, with `claims`, of the claims; null if it is unreadable. */
+/** Decodes a record of one of the system's own streams; null if it is unreadable. */
 export const decodeRecord = (
   { key, value }: EncodedRecord,
-  stream: 'journal' | 'claims',
+  stream: 'journal' | 'runs' | 'claims',
 ): Decoded | null => {
   const [kind = '', id = ''] = key.split('/');
   try {
     if (stream === 'claims') return { type: 'claim', ...recordSchemas.claim.parse(unpack(value)) };
     if (value.length === 0) {
-      const of = partNames.get(kind as 's' | 'c' | 'p');
+      const of = partNames.get(kind as 's' | 'c' | 't' | 'p');
       return of ? { type: 'dropped', of, id } : null;
     }
     return decoders.get(kind)?.(unpack(value), id) ?? null;
--- a/src/adapters/journal/encodeRecord.ts
+++ b/src/adapters/journal/encodeRecord.ts
@@ -1,11 +1,12 @@
 import { pack } from 'msgpackr';
 import type { ClaimRecord } from '../../control/journal/ClaimRecord.js';
 import type { JournalRecord } from '../../control/journal/JournalRecord.js';
+import type { RunsRecord } from '../../control/journal/RunsRecord.js';
 import type { Progress } from '../../control/jobs/Progress.js';
 import type { EncodedRecord } from './EncodedRecord.js';
 import { journalKeys } from './journalKeys.js';
 
-type AnyRecord = JournalRecord | ClaimRecord;
+type AnyRecord = JournalRecord | RunsRecord | ClaimRecord;
 
 type Encoders = {
   [T in AnyRecord['type']]: (record: Extract<AnyRecord, { type: T }>) => EncodedRecord;
@@ -34,6 +35,10 @@
     value: pack(submission),
   }),
   cancellation: ({ id, at }) => ({ key: `${journalKeys.cancellation}/${id}`, value: pack({ at }) }),
+  status: ({ id, state, endedAt }) => ({
+    key: `${journalKeys.status}/${id}`,
+    value: pack([state, endedAt]),
+  }),
   progress: ({ id, progress }) => ({
     key: `${journalKeys.progress}/${id}`,
     value: encodeProgress(progress),
@@ -53,7 +58,7 @@
   }),
 };
 
-/** Encodes a record of the journal or of the claims. */
+/** Encodes a record of one of the system's own streams. */
 export const encodeRecord = (record: AnyRecord): EncodedRecord => {
   // The table's type ties each encoder to its record type; the look-up erases that tie.
   const encode = encoders[record.type] as (next: AnyRecord) => EncodedRecord;
--- a/src/adapters/journal/journalKeys.ts
+++ b/src/adapters/journal/journalKeys.ts
@@ -2,6 +2,7 @@
 export const journalKeys = {
   submission: 's',
   cancellation: 'c',
+  status: 't',
   progress: 'p',
   lead: 'l',
   claim: 'l',
--- a/src/adapters/journal/recordSchemas.ts
+++ b/src/adapters/journal/recordSchemas.ts
@@ -18,6 +18,8 @@
   fills: z.boolean(),
 });
 
+const jobState = z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']);
+
 const taskRow = z.tuple([
   count,
   count,
@@ -46,8 +48,9 @@
     }),
   }),
   cancellation: z.object({ at: z.number() }),
+  status: z.tuple([jobState, z.number()]),
   progress: z.tuple([
-    z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']),
+    jobState,
     z.number(),
     z.array(taskRow),
   ]),
--- a/src/control/State.ts
+++ b/src/control/State.ts
@@ -7,7 +7,6 @@
 import type { Term } from './lead/Term.js';
 import type { Self } from './Self.js';
 import type { Cursor } from './streams/Cursor.js';
-import type { WorkerSpeed } from './workers/WorkerSpeed.js';
 import type { StreamName } from './streams/StreamName.js';
 
 /** State of one daemon; owned by its loop and updated in place by `reduce` only. */
@@ -19,8 +18,6 @@
   config: PublishedConfig | null;
   streams: Record<StreamName, Cursor>;
   jobs: Map<string, Job>;
-  /** Speeds of workers that the lead has written down. */
-  speeds: Map<string, WorkerSpeed>;
   callers: CallersState;
   lead: LeadView;
   election: Election;
--- a/src/control/callers/CallerRefusal.ts
+++ b/src/control/callers/CallerRefusal.ts
@@ -6,5 +6,6 @@
   | 'invalid-job'
   | 'no-such-job'
   | 'store-refused'
+  | 'store-silent'
   | 'store-behind'
   | 'store-unanswered';
--- a/src/control/callers/refuseCaller.ts
+++ b/src/control/callers/refuseCaller.ts
@@ -4,16 +4,30 @@
 import type { CallerRefusal } from './CallerRefusal.js';
 import type { CallerRequest } from './CallerRequest.js';
 
-// When it is worth to ask again, by reason; 0 is never.
-const retryAfterMs: Record<CallerRefusal, number> = {
-  'no-config': 1000,
-  'no-queue': 0,
-  'unknown-key': 0,
-  'invalid-job': 0,
-  'no-such-job': 0,
-  'store-refused': 1000,
-  'store-behind': 1000,
-  'store-unanswered': 1000,
+const shortestRetryMs = 1000;
+// Callers come back a few times only; an outage that has lasted is likely to last on.
+const longestRetryMs = 2000;
+
+type RetryRule = (state: State, at: number) => number;
+
+const never: RetryRule = () => 0;
+const soon: RetryRule = () => shortestRetryMs;
+const withOutage: RetryRule = (state, at) => {
+  const outageMs = at - state.streams.journal.lastOkAt;
+  return Math.min(longestRetryMs, Math.max(shortestRetryMs, outageMs));
+};
+
+/** When it is worth to ask again, by reason. */
+const retryRules: Record<CallerRefusal, RetryRule> = {
+  'no-config': soon,
+  'no-queue': never,
+  'unknown-key': never,
+  'invalid-job': never,
+  'no-such-job': never,
+  'store-refused': withOutage,
+  'store-silent': withOutage,
+  'store-behind': soon,
+  'store-unanswered': soon,
 };
 
 /** Refuses a request and logs what decided it. */
@@ -36,7 +50,7 @@
     ...answerCaller(state, request.requestId, {
       type: 'refused',
       reason,
-      retryAfterMs: retryAfterMs[reason],
+      retryAfterMs: retryRules[reason](state, at),
     }),
   ];
 };
--- a/src/control/createState.ts
+++ b/src/control/createState.ts
@@ -23,14 +23,14 @@
   streams: {
     config: createCursor(),
     journal: createCursor(),
+    runs: createCursor(),
     claims: createCursor(),
     workers: createCursor(),
   },
   jobs: new Map(),
-  speeds: new Map(),
   callers: { open: new Map(), byJob: new Map(), appends: new Map(), ready: false },
   lead: { token: 0, vmId: '', lastSeenAt: null, resigned: false },
-  election: { phase: 'idle', callId: 0, waitUntil: 0 },
+  election: { phase: 'idle', callId: 0, waitUntil: 0, lastToken: 0 },
   term: null,
   shutdownAt: null,
 });
--- a/src/control/jobs/Job.ts
+++ b/src/control/jobs/Job.ts
@@ -1,4 +1,4 @@
-import type { Progress } from './Progress.js';
+import type { JobState } from './JobState.js';
 import type { Submission } from './Submission.js';
 
 /** One job as the journal tells it; its three parts arrive in any order. */
@@ -6,7 +6,10 @@
   id: string;
   submission: Submission | null;
   cancelled: boolean;
-  progress: Progress | null;
-  /** Journal offset of `progress`; an older record does not replace a newer one. */
-  progressOffset: number;
+  /** State of the job as the lead has published it last. */
+  state: JobState;
+  /** Epoch milliseconds at the lead when the job ended, or 0. */
+  endedAt: number;
+  /** Journal offset of the published state; an older record does not replace a newer one. */
+  stateOffset: number;
 }
--- a/src/control/journal/JournalRecord.ts
+++ b/src/control/journal/JournalRecord.ts
@@ -1,12 +1,11 @@
-import type { Progress } from '../jobs/Progress.js';
-import type { WorkerSpeed } from '../workers/WorkerSpeed.js';
+import type { JobState } from '../jobs/JobState.js';
 import type { Submission } from '../jobs/Submission.js';
 
-/** A record of the journal; of equal keys only the newest is kept. */
+/** A record of the journal, which every VM follows; of equal keys only the newest is kept. */
 export type JournalRecord =
   | { type: 'submission'; submission: Submission }
   | { type: 'cancellation'; id: string; at: number }
-  | { type: 'progress'; id: string; progress: Progress }
+  /** What callers see of a job; `endedAt` is 0 until it has ended. */
+  | { type: 'status'; id: string; state: JobState; endedAt: number }
   | { type: 'lead'; token: number; vmId: string; resigned: boolean }
-  | { type: 'speeds'; speeds: WorkerSpeed[] }
-  | { type: 'dropped'; of: 'submission' | 'cancellation' | 'progress'; id: string };
+  | { type: 'dropped'; of: 'submission' | 'cancellation' | 'status' | 'progress'; id: string };
--- a/src/control/journal/applyProgress.ts
+++ b/src/control/journal/applyProgress.ts
@@ -1,16 +1,13 @@
-import type { Progress } from '../jobs/Progress.js';
+import type { Effect } from '../Effect.js';
 import type { State } from '../State.js';
-import { getJob } from './getJob.js';
+import type { RecordOf } from './RecordOf.js';
 
-/** Replaces a job's progress by a newer one. */
-export const applyProgress = (
-  state: State,
-  id: string,
-  progress: Progress,
-  offset: number,
-): void => {
-  const job = getJob(state, id);
-  if (offset <= job.progressOffset) return;
-  job.progress = progress;
-  job.progressOffset = offset;
+/** Keeps what a former lead wrote about a job's tasks until the new lead has built its plans. */
+export const applyProgress = (state: State, record: RecordOf<'progress'>): Effect[] => {
+  const { term } = state;
+  if (!term) return [];
+  const known = term.former.progress.get(record.id);
+  if (known && known.offset >= record.offset) return [];
+  term.former.progress.set(record.id, { ...record.progress, offset: record.offset });
+  return [];
 };
--- a/src/control/journal/dropPart.ts
+++ b/src/control/journal/dropPart.ts
@@ -1,12 +1,19 @@
 import type { Effect } from '../Effect.js';
 import type { State } from '../State.js';
+import type { RecordOf } from './RecordOf.js';
 
-/** Forgets a job whose records were dropped; the submission is the last part to be dropped. */
-export const dropPart = (
-  state: State,
-  part: 'submission' | 'cancellation' | 'progress',
-  id: string,
-): Effect[] => {
-  if (part === 'submission') state.jobs.delete(id);
+type Part = RecordOf<'dropped'>['of'];
+
+/** What it means that a part of a job was dropped; the submission is the last one in the journal. */
+const dropHandlers: Record<Part, (state: State, id: string) => void> = {
+  submission: (state, id) => state.jobs.delete(id),
+  cancellation: () => undefined,
+  status: () => undefined,
+  progress: (state, id) => state.term?.former.progress.delete(id),
+};
+
+/** Forgets what a dropped record told. */
+export const dropPart = (state: State, { of, id }: RecordOf<'dropped'>): Effect[] => {
+  dropHandlers[of](state, id);
   return [];
 };
--- a/src/control/journal/getJob.ts
+++ b/src/control/journal/getJob.ts
@@ -5,7 +5,14 @@
 export const getJob = (state: State, id: string): Job => {
   const known = state.jobs.get(id);
   if (known) return known;
-  const job: Job = { id, submission: null, cancelled: false, progress: null, progressOffset: -1 };
+  const job: Job = {
+    id,
+    submission: null,
+    cancelled: false,
+    state: 'queued',
+    endedAt: 0,
+    stateOffset: -1,
+  };
   state.jobs.set(id, job);
   return job;
 };
--- a/src/control/journal/recordHandlers.ts
+++ b/src/control/journal/recordHandlers.ts
@@ -3,6 +3,7 @@
 import { applyWorkerRecord } from '../workers/applyWorkerRecord.js';
 import { applyCancellation } from './applyCancellation.js';
 import { applyProgress } from './applyProgress.js';
+import { applyStatus } from './applyStatus.js';
 import { applySubmission } from './applySubmission.js';
 import { dropPart } from './dropPart.js';
 import type { RecordHandlerTable } from './RecordHandlerTable.js';
@@ -12,17 +13,14 @@
   config: (state, { config }) => applyConfig(state, config),
   submission: (state, { submission }) => applySubmission(state, submission),
   cancellation: (state, { id }, now) => applyCancellation(state, id, now),
-  progress: (state, record, now) => {
-    applyProgress(state, record.id, record.progress, record.offset);
-    state.lead.lastSeenAt = now.at;
-    return [];
-  },
+  status: applyStatus,
+  progress: applyProgress,
   lead: noteLead,
   speeds: (state, { speeds }) => {
-    state.speeds = new Map(speeds.map((speed) => [speed.workerId, speed]));
+    if (state.term) state.term.former.speeds = speeds;
     return [];
   },
-  dropped: (state, { of, id }) => dropPart(state, of, id),
+  dropped: dropPart,
   claim: () => [],
   worker: (state, { id, entry }, now) => applyWorkerRecord(state, id, entry, now),
   unreadable: (_state, { key }) => [
--- a/src/control/lead/Election.ts
+++ b/src/control/lead/Election.ts
@@ -5,4 +5,6 @@
   callId: number;
   /** Monotonic time before which no new attempt starts. */
   waitUntil: number;
+  /** Token of the last term that this process led, or 0. */
+  lastToken: number;
 }
--- a/src/control/lead/Term.ts
+++ b/src/control/lead/Term.ts
@@ -1,30 +1,32 @@
 import type { JobPlan } from '../plans/JobPlan.js';
 import type { StepPlan } from '../plans/StepPlan.js';
-import type { PendingWrite } from '../progress/PendingWrite.js';
+import type { LeadStream } from '../progress/LeadStream.js';
+import type { LeadWriter } from '../progress/LeadWriter.js';
 import type { Worker } from '../workers/Worker.js';
+import type { FormerTerm } from './FormerTerm.js';
 
 /** State of the lead; it is dropped as a whole when the term ends. */
 export interface Term {
   /** Fencing token. */
   token: number;
-  /** Number of the next conditional append. */
-  sequence: number;
   phase: 'fencing' | 'reading' | 'asking' | 'scheduling';
   /** Monotonic time at which the phase began. */
   phaseSince: number;
   /** Monotonic time at which the term began. */
   since: number;
-  /** Journal offset up to which must be read before anything is decided. */
-  fenceEnd: number;
+  /** What was read of earlier terms; empty once the plans are built. */
+  former: FormerTerm;
   plans: Map<string, JobPlan>;
   workers: Map<string, Worker>;
   /** Gangs that lost a member; the others have to stop. */
   brokenGangs: Set<StepPlan>;
   /** Jobs whose progress has to be written. */
   dirty: Set<string>;
-  write: PendingWrite | null;
-  /** Monotonic time of the last append to the journal. */
-  lastWriteAt: number;
+  /** Jobs whose state has to be published. */
+  unpublished: Set<string>;
+  /** Jobs without a submission whose progress has to be dropped. */
+  orphans: Set<string>;
+  writers: Record<LeadStream, LeadWriter>;
   /** Recent peak of the accelerators that urgent work needs, and when it was noted. */
   urgentDemand: { gpu: number; at: number };
   /** When speeds were last written, and the number of runs that they rested on. */
--- a/src/control/lead/advanceTerm.ts
+++ b/src/control/lead/advanceTerm.ts
@@ -2,9 +2,12 @@
 import type { Now } from '../Now.js';
 import { placeWaiting } from '../placement/placeWaiting.js';
 import { buildPlans } from '../plans/buildPlans.js';
+import { retryWrite } from '../progress/retryWrite.js';
 import { writeProgress } from '../progress/writeProgress.js';
 import { stopBrokenGangs } from '../runs/stopBrokenGangs.js';
 import type { State } from '../State.js';
+import { closeStream } from '../streams/closeStream.js';
+import type { StreamName } from '../streams/StreamName.js';
 import { driveHolds } from '../workers/driveHolds.js';
 import type { Term } from './Term.js';
 
@@ -12,12 +15,12 @@
 const askingMs = 600;
 
 /** Takes over what the former lead has learned. */
-const restoreSpeeds = (state: State, term: Term): void => {
-  term.workers.forEach((worker) => {
-    const speed = state.speeds.get(worker.id);
-    if (!speed) return;
-    worker.slowness = speed.slowness;
-    worker.measuredRuns = speed.measuredRuns;
+const restoreSpeeds = (term: Term): void => {
+  term.former.speeds.forEach(({ workerId, slowness, measuredRuns }) => {
+    const worker = term.workers.get(workerId);
+    if (!worker) return;
+    worker.slowness = slowness;
+    worker.measuredRuns = measuredRuns;
   });
 };
 
@@ -30,13 +33,19 @@
   return [{ type: 'log', level: 'info', code: 'term_phase', fields }];
 };
 
+const isReadTo = (state: State, stream: StreamName, offset: number): boolean => {
+  const { phase, next } = state.streams[stream];
+  return phase === 'tail' && next >= offset;
+};
+
 const finishReading: PhaseStep = (state, term, now) => {
-  const { journal, workers } = state.streams;
-  if (journal.phase !== 'tail' || journal.next < term.fenceEnd || workers.phase !== 'tail') {
-    return [];
-  }
+  const { writers } = term;
+  const read = isReadTo(state, 'journal', writers.journal.fenceEnd);
+  if (!read || !isReadTo(state, 'runs', writers.runs.fenceEnd)) return [];
+  if (!isReadTo(state, 'workers', 0)) return [];
+  closeStream(state, 'runs');
   const effects = enterPhase(term, 'asking', now);
-  restoreSpeeds(state, term);
+  restoreSpeeds(term);
   effects.push(...buildPlans(state, term, now));
   return [...effects, ...driveHolds(state, term, now)];
 };
@@ -55,15 +64,16 @@
 const scheduleTasks: PhaseStep = (state, term, now) => {
   const effects = driveHolds(state, term, now);
   // Starts are written before they are sent, so a pass during an open append gains nothing.
-  if (term.placementDue && term.write === null && state.shutdownAt === null) {
+  if (term.placementDue && term.writers.runs.write === null && state.shutdownAt === null) {
     effects.push(...placeWaiting(state, term, now));
   }
   return [...effects, ...writeProgress(state, term, now)];
 };
 
 const repeatFence: PhaseStep = (state, term, now) => {
-  if (term.write) return writeProgress(state, term, now);
-  return enterPhase(term, 'reading', now);
+  const { journal, runs } = term.writers;
+  if (!journal.write && !runs.write) return enterPhase(term, 'reading', now);
+  return [...retryWrite(state, term, 'journal', now), ...retryWrite(state, term, 'runs', now)];
 };
 
 const phaseSteps: Record<Term['phase'], PhaseStep> = {
--- a/src/control/lead/electionHandlers.ts
+++ b/src/control/lead/electionHandlers.ts
@@ -15,8 +15,13 @@
 const yieldMs = 600;
 const retryMs = 200;
 
+/** The lead is a former life of this VM's own process, which cannot lead any more. */
+const isOwnFormerLife = ({ lead, election, self }: State): boolean =>
+  lead.vmId === self.vmId && lead.token > election.lastToken;
+
 const isLeadSilent = (state: State, now: Now): boolean => {
   const { lead } = state;
+  if (isOwnFormerLife(state)) return true;
   // At the first look at the journal, an old lead gets the time for one beat.
   lead.lastSeenAt ??= lead.token === 0 ? Number.NEGATIVE_INFINITY : now.at;
   const silenceMs = now.at - lead.lastSeenAt;
@@ -35,7 +40,8 @@
 
 const readClaims = (state: State): Effect[] => {
   state.lastCallId += 1;
-  state.election = { phase: 'reading', callId: state.lastCallId, waitUntil: 0 };
+  const { lastToken } = state.election;
+  state.election = { phase: 'reading', callId: state.lastCallId, waitUntil: 0, lastToken };
   return [
     {
       type: 'readPage',
@@ -48,7 +54,8 @@
 };
 
 const stopElection = (state: State, now: Now, pauseMs: number): Effect[] => {
-  state.election = { phase: 'idle', callId: 0, waitUntil: now.at + pauseMs };
+  const { lastToken } = state.election;
+  state.election = { phase: 'idle', callId: 0, waitUntil: now.at + pauseMs, lastToken };
   return [];
 };
 
@@ -85,7 +92,8 @@
     }
   }
   state.lastCallId += 1;
-  state.election = { phase: 'claiming', callId: state.lastCallId, waitUntil: 0 };
+  election.phase = 'claiming';
+  election.callId = state.lastCallId;
   return [
     {
       type: 'append',
--- a/src/control/lead/endTerm.ts
+++ b/src/control/lead/endTerm.ts
@@ -13,6 +13,7 @@
   if (!term) return [];
   state.term = null;
   state.lead.lastSeenAt = now.at;
+  closeStream(state, 'runs');
   closeStream(state, 'workers');
   const fields = { token: term.token, reason, lastedMs: Math.round(now.at - term.since) };
   return [
--- a/src/control/placement/reserveStart.ts
+++ b/src/control/placement/reserveStart.ts
@@ -27,6 +27,9 @@
     placeTask(worker, task);
   });
   unit.tasks.splice(0, places.length);
-  if (unit.plan.state === 'queued') unit.plan.state = 'running';
+  if (unit.plan.state === 'queued') {
+    unit.plan.state = 'running';
+    term.unpublished.add(unit.plan.id);
+  }
   term.dirty.add(unit.plan.id);
 };
--- a/src/control/plans/addPlan.ts
+++ b/src/control/plans/addPlan.ts
@@ -9,14 +9,14 @@
 /** Adds the lead's plan of a job that has been submitted and has not ended. */
 export const addPlan = (state: State, job: Job): JobPlan | null => {
   const { term } = state;
-  const { submission, progress } = job;
+  const { submission } = job;
   if (!term || !submission || term.plans.has(job.id)) return null;
-  if (progress && isJobEnded(progress.state)) return null;
+  if (isJobEnded(job.state)) return null;
   const queue = state.config?.queues.find(({ name }) => name === submission.queue) ?? unknownQueue;
   const plan: JobPlan = {
     id: job.id,
     submission,
-    state: progress?.state ?? 'queued',
+    state: job.state,
     endedAt: 0,
     priority: queue.priority,
     maxAttempts: Math.max(1, queue.maxAttempts),
--- a/src/control/plans/buildPlans.ts
+++ b/src/control/plans/buildPlans.ts
@@ -1,19 +1,34 @@
 import type { Effect } from '../Effect.js';
+import type { Progress } from '../jobs/Progress.js';
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
 import type { State } from '../State.js';
 import { addPlan } from './addPlan.js';
 import { finishPlan } from './finishPlan.js';
+import type { JobPlan } from './JobPlan.js';
 import { restorePlan } from './restorePlan.js';
 
+/** A former lead may have written an end that it could not publish any more. */
+const restoreState = (term: Term, plan: JobPlan, progress: Progress): void => {
+  plan.state = progress.state;
+  plan.endedAt = progress.endedAt;
+  term.unpublished.add(plan.id);
+};
+
 /** Builds the plans of all jobs that have not ended, at the start of a term. */
 export const buildPlans = (state: State, term: Term, now: Now): Effect[] => {
   const effects: Effect[] = [];
   state.jobs.forEach((job) => {
     const plan = addPlan(state, job);
     if (!plan) return;
-    restorePlan(term, plan, job.progress?.tasks ?? [], now);
+    const progress = term.former.progress.get(job.id);
+    restorePlan(term, plan, progress?.tasks ?? [], now);
+    if (progress && progress.state !== plan.state) restoreState(term, plan, progress);
     if (job.cancelled) effects.push(...finishPlan(term, plan, 'cancelled', now));
   });
+  term.former.progress.forEach((_progress, id) => {
+    if (!state.jobs.has(id)) term.orphans.add(id);
+  });
+  term.former.progress.clear();
   return effects;
 };
--- /dev/null
+++ b/src/control/plans/dropEndedPlans.ts
@@ -0,0 +1,25 @@
+import type { JournalRecord } from '../journal/JournalRecord.js';
+import type { RunsRecord } from '../journal/RunsRecord.js';
+import type { Term } from '../lead/Term.js';
+import { isJobEnded } from './isJobEnded.js';
+
+type LeadRecord = JournalRecord | RunsRecord;
+
+const getPlanId = (record: LeadRecord): string | null =>
+  record.type === 'progress' || record.type === 'status' ? record.id : null;
+
+const isBeingWritten = ({ writers }: Term, id: string): boolean =>
+  Object.values(writers).some(({ write }) =>
+    write?.records.some((record) => getPlanId(record) === id),
+  );
+
+/** Drops the plans of ended jobs whose end both streams now have. */
+export const dropEndedPlans = (term: Term, written: readonly LeadRecord[]): void => {
+  written.forEach((record) => {
+    const id = getPlanId(record);
+    const plan = id === null ? undefined : term.plans.get(id);
+    if (!plan || !isJobEnded(plan.state)) return;
+    if (term.dirty.has(plan.id) || term.unpublished.has(plan.id)) return;
+    if (!isBeingWritten(term, plan.id)) term.plans.delete(plan.id);
+  });
+};
--- a/src/control/plans/finishPlan.ts
+++ b/src/control/plans/finishPlan.ts
@@ -18,6 +18,7 @@
   plan.state = outcome;
   plan.endedAt = now.wall;
   term.dirty.add(plan.id);
+  term.unpublished.add(plan.id);
   const fields = {
     requestId: plan.id,
     outcome,
--- a/src/control/progress/PendingWrite.ts
+++ b/src/control/progress/PendingWrite.ts
@@ -1,10 +1,13 @@
 import type { JournalRecord } from '../journal/JournalRecord.js';
+import type { RunsRecord } from '../journal/RunsRecord.js';
 import type { Task } from '../plans/Task.js';
+import type { LeadStream } from './LeadStream.js';
 
 /** An append of the lead whose answer is open; it is repeated unchanged until it is answered. */
 export interface PendingWrite {
+  stream: LeadStream;
   appendId: number;
-  records: JournalRecord[];
+  records: (JournalRecord | RunsRecord)[];
   sequence: number;
   /** Starts that may be sent when the append is done. */
   starts: { task: Task; run: number }[];
--- a/src/control/progress/buildLeadRecord.ts
+++ b/src/control/progress/buildLeadRecord.ts
@@ -3,7 +3,10 @@
 import type { State } from '../State.js';
 
 /** Builds the record by which the others see that this VM leads. */
-export const buildLeadRecord = (state: State, term: Term): JournalRecord => ({
+export const buildLeadRecord = (
+  state: State,
+  term: Term,
+): Extract<JournalRecord, { type: 'lead' }> => ({
   type: 'lead',
   token: term.token,
   vmId: state.self.vmId,
--- a/src/control/progress/finishWrite.ts
+++ b/src/control/progress/finishWrite.ts
@@ -1,32 +1,15 @@
 import type { Effect } from '../Effect.js';
-import { applyProgress } from '../journal/applyProgress.js';
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
-import { isJobEnded } from '../plans/isJobEnded.js';
+import { dropEndedPlans } from '../plans/dropEndedPlans.js';
 import { sendStart } from '../runs/sendStart.js';
-import type { State } from '../State.js';
-import type { PendingWrite } from './PendingWrite.js';
-
-const dropEndedPlans = (term: Term, write: PendingWrite): void => {
-  write.records.forEach((record) => {
-    if (record.type !== 'progress' || !isJobEnded(record.progress.state)) return;
-    if (!term.dirty.has(record.id)) term.plans.delete(record.id);
-  });
-};
+import type { LeadWriter } from './LeadWriter.js';
 
 /** Sends the starts and allows the acknowledgements that waited for an append. */
-export const finishWrite = (
-  state: State,
-  term: Term,
-  write: PendingWrite,
-  offset: number,
-  now: Now,
-): Effect[] => {
-  term.write = null;
-  write.records.forEach((record, index) => {
-    if (record.type === 'progress')
-      applyProgress(state, record.id, record.progress, offset + index);
-  });
+export const finishWrite = (term: Term, writer: LeadWriter, now: Now): Effect[] => {
+  const { write } = writer;
+  if (!write) return [];
+  writer.write = null;
   write.ends.forEach(({ workerId, born, number }) => {
     const worker = term.workers.get(workerId);
     if (!worker || worker.born !== born) return;
@@ -38,6 +21,7 @@
     ({ task, run }) => task.state === 'recording' && task.run === run,
   );
   const effects = starts.flatMap(({ task }) => sendStart(term, task, now));
-  dropEndedPlans(term, write);
-  return [{ type: 'observe', name: 'journal_write_ms', ms: now.at - write.firstAt }, ...effects];
+  dropEndedPlans(term, write.records);
+  const ms = now.at - write.firstAt;
+  return [{ type: 'observe', name: 'journal_write_ms', ms }, ...effects];
 };
--- a/src/control/progress/listExpired.ts
+++ b/src/control/progress/listExpired.ts
@@ -1,5 +1,4 @@
 import { isJobEnded } from '../plans/isJobEnded.js';
-import type { JournalRecord } from '../journal/JournalRecord.js';
 import type { Now } from '../Now.js';
 import type { State } from '../State.js';
 
@@ -8,19 +7,12 @@
 // Bounds the size of one append.
 const mostAtOnce = 50;
 
-/** Lists the records that drop jobs whose state is owed no longer. */
-export const listExpired = (state: State, now: Now): JournalRecord[] => {
-  const expired = [...state.jobs.values()]
+/** Lists the jobs whose state is owed no longer. */
+export const listExpired = (state: State, now: Now): string[] =>
+  [...state.jobs.values()]
     .filter(
-      ({ progress }) =>
-        progress !== null &&
-        isJobEnded(progress.state) &&
-        now.wall - progress.endedAt > state.bounds.statusKeepMs + keepMarginMs,
+      (job) =>
+        isJobEnded(job.state) && now.wall - job.endedAt > state.bounds.statusKeepMs + keepMarginMs,
     )
-    .slice(0, mostAtOnce);
-  return expired.flatMap(({ id }): JournalRecord[] => [
-    { type: 'dropped', of: 'cancellation', id },
-    { type: 'dropped', of: 'progress', id },
-    { type: 'dropped', of: 'submission', id },
-  ]);
-};
+    .slice(0, mostAtOnce)
+    .map(({ id }) => id);
--- a/src/control/progress/sendWrite.ts
+++ b/src/control/progress/sendWrite.ts
@@ -15,7 +15,7 @@
     {
       type: 'append',
       appendId: write.appendId,
-      stream: 'journal',
+      stream: write.stream,
       records: write.records,
       condition: { type: 'fenced', token: term.token, sequence: write.sequence },
       timeoutMs: appendTimeoutMs,
--- a/src/control/progress/writeProgress.ts
+++ b/src/control/progress/writeProgress.ts
@@ -1,28 +1,16 @@
 import type { Effect } from '../Effect.js';
-import type { JournalRecord } from '../journal/JournalRecord.js';
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
-import { buildProgress } from '../plans/buildProgress.js';
 import type { State } from '../State.js';
-import { buildLeadRecord } from './buildLeadRecord.js';
+import { acknowledgeEnds } from './acknowledgeEnds.js';
+import { buildJournalRecords } from './buildJournalRecords.js';
+import { buildRunsRecords } from './buildRunsRecords.js';
 import { createWrite } from './createWrite.js';
-import { listExpired } from './listExpired.js';
-import { listSpeeds } from './listSpeeds.js';
+import type { LeadStream } from './LeadStream.js';
 import type { PendingWrite } from './PendingWrite.js';
+import { retryWrite } from './retryWrite.js';
 import { sendWrite } from './sendWrite.js';
 
-// Well below the silence after which another VM claims the lead.
-const beatEveryMs = 500;
-
-const acknowledgeEnds = (term: Term): void => {
-  term.endsDue = false;
-  term.workers.forEach((worker) => {
-    if (worker.lastSeen === worker.lastEnd) return;
-    worker.lastSeen = worker.lastEnd;
-    worker.ackDue = true;
-  });
-};
-
 const listEnds = (term: Term): PendingWrite['ends'] =>
   [...term.workers.values()]
     .filter(({ lastEnd, lastSeen }) => lastEnd > lastSeen)
@@ -35,37 +23,34 @@
       .map((task) => ({ task, run: task.run })),
   );
 
-const buildRecords = (state: State, term: Term, now: Now): JournalRecord[] => {
-  const records: JournalRecord[] = [];
-  term.dirty.forEach((id) => {
-    const plan = term.plans.get(id);
-    if (plan) records.push({ type: 'progress', id, progress: buildProgress(plan) });
-  });
-  const due = now.at - term.lastWriteAt >= beatEveryMs;
-  if (due) {
-    const speeds = listSpeeds(term, now);
-    records.push(buildLeadRecord(state, term), ...speeds, ...listExpired(state, now));
-  }
-  return records;
-};
+const beginWrite: Record<LeadStream, (state: State, term: Term, now: Now) => PendingWrite | null> =
+  {
+    journal: (state, term, now) => {
+      const records = buildJournalRecords(state, term, now);
+      return records.length > 0 ? createWrite(term, 'journal', records, now) : null;
+    },
+    runs: (_state, term, now) => {
+      const records = buildRunsRecords(term, now);
+      if (records.length === 0) {
+        acknowledgeEnds(term);
+        return null;
+      }
+      const write = createWrite(term, 'runs', records, now);
+      write.starts = listStarts(term);
+      write.ends = listEnds(term);
+      term.endsDue = false;
+      return write;
+    },
+  };
 
-/** Writes down what changed, one append at a time; repeats an append without an answer. */
-export const writeProgress = (state: State, term: Term, now: Now): Effect[] => {
-  const { write } = term;
-  if (write) {
-    const due = write.retryAt !== null && now.at >= write.retryAt;
-    return due ? sendWrite(state, term, write) : [];
-  }
-  const records = buildRecords(state, term, now);
-  if (records.length === 0) {
-    if (term.endsDue) acknowledgeEnds(term);
-    return [];
-  }
-  const next = createWrite(term, records, now);
-  next.starts = listStarts(term);
-  next.ends = listEnds(term);
-  term.dirty.clear();
-  term.endsDue = false;
-  term.lastWriteAt = now.at;
-  return sendWrite(state, term, next);
+const advanceWriter = (state: State, term: Term, stream: LeadStream, now: Now): Effect[] => {
+  if (term.writers[stream].write) return retryWrite(state, term, stream, now);
+  const next = beginWrite[stream](state, term, now);
+  return next ? sendWrite(state, term, next) : [];
 };
+
+/** Writes down what changed, one append to a stream at a time; repeats one without an answer. */
+export const writeProgress = (state: State, term: Term, now: Now): Effect[] => [
+  ...advanceWriter(state, term, 'runs', now),
+  ...advanceWriter(state, term, 'journal', now),
+];
--- a/src/control/shutdown/shutdownHandlers.ts
+++ b/src/control/shutdown/shutdownHandlers.ts
@@ -32,10 +32,10 @@
 const resignLead = (state: State, now: Now): Effect[] => {
   const { term, shutdownAt } = state;
   if (!term || shutdownAt === null) return [];
-  if (term.write) {
+  if (term.writers.journal.write || term.writers.runs.write) {
     return now.at - shutdownAt > resignWaitMs ? endTerm(state, 'resigned', now) : [];
   }
-  const write = createWrite(term, [buildLeadRecord(state, term)], now);
+  const write = createWrite(term, 'journal', [buildLeadRecord(state, term)], now);
   return [...sendWrite(state, term, write), ...endTerm(state, 'resigned', now)];
 };
 
--- a/src/control/streams/StreamEffect.ts
+++ b/src/control/streams/StreamEffect.ts
@@ -1,5 +1,6 @@
 import type { ClaimRecord } from '../journal/ClaimRecord.js';
 import type { JournalRecord } from '../journal/JournalRecord.js';
+import type { RunsRecord } from '../journal/RunsRecord.js';
 import type { AppendCondition } from './AppendCondition.js';
 import type { StreamName } from './StreamName.js';
 
@@ -23,8 +24,8 @@
   | {
       type: 'append';
       appendId: number;
-      stream: 'journal' | 'claims';
-      records: (JournalRecord | ClaimRecord)[];
+      stream: 'journal' | 'runs' | 'claims';
+      records: (JournalRecord | RunsRecord | ClaimRecord)[];
       condition: AppendCondition;
       timeoutMs: number;
     };
--- a/src/control/streams/StreamRecord.ts
+++ b/src/control/streams/StreamRecord.ts
@@ -1,12 +1,14 @@
 import type { ConfigRecord } from '../config/ConfigRecord.js';
 import type { ClaimRecord } from '../journal/ClaimRecord.js';
 import type { JournalRecord } from '../journal/JournalRecord.js';
+import type { RunsRecord } from '../journal/RunsRecord.js';
 import type { WorkerRecord } from '../workers/WorkerRecord.js';
 
 /** A decoded record; `unreadable` stands for bytes of another writer. */
 export type StreamRecord = (
   | ConfigRecord
   | JournalRecord
+  | RunsRecord
   | ClaimRecord
   | WorkerRecord
   | { type: 'unreadable'; key: string }
--- a/src/control/streams/streamsHandlers.ts
+++ b/src/control/streams/streamsHandlers.ts
@@ -13,7 +13,7 @@
 const firstRetryMs = 50;
 const longestRetryMs = 400;
 
-const followed: readonly StreamName[] = ['config', 'journal', 'workers'];
+const followed: readonly StreamName[] = ['config', 'journal', 'runs', 'workers'];
 
 const isOpenRead = (state: State, stream: StreamName, readId: number): boolean =>
   state.streams[stream].readId === readId;
@@ -57,7 +57,8 @@
   const effects = noteRead(state, event, cursor);
   effects.push(...applyAll(state, event));
   cursor.next = event.next;
-  cursor.retryAt = event.at + streamSettings[event.stream].pauseMs;
+  const { pauseMs, leadPauseMs } = streamSettings[event.stream];
+  cursor.retryAt = event.at + (state.term ? leadPauseMs : pauseMs);
   return [...effects, ...readNext(state, event.stream, event)];
 };
 
--- a/src/control/workers/handleHoldAnswer.ts
+++ b/src/control/workers/handleHoldAnswer.ts
@@ -3,9 +3,9 @@
 import type { AnswerHandler } from './AnswerHandler.js';
 import type { Worker } from './Worker.js';
 
-// Pauses between looks that fail: a worker that is cut off costs little, and is found back soon.
+// Pauses between looks that fail: short, because what runs behind a cut ends with its lease.
 const firstRetryMs = 100;
-const longestRetryMs = 800;
+const longestRetryMs = 300;
 // Pause while ends wait to be written down, so that the same ends are not read again and again.
 const writePauseMs = 40;
 
--- a/src/control/workers/sendHold.ts
+++ b/src/control/workers/sendHold.ts
@@ -5,8 +5,8 @@
 import { estimateClock } from './estimateClock.js';
 import type { Worker } from './Worker.js';
 
-// Outlasts a take-over and most silences of the store; work on a crashed worker waits as long.
-const leaseMs = 6000;
+// Outlasts a take-over and most cuts; work on a worker that crashed for good waits as long.
+const longestLeaseMs = 10_000;
 // A look shows ends at once; the wait bounds how often an idle worker is asked.
 const holdWaitMs = 1500;
 const answerTimeoutMs = 700;
@@ -23,11 +23,13 @@
   const clock = estimateClock(worker, now);
   // A silent worker is not renewed, so that its lease ends at a known time.
   const renewed = clock !== null && worker.failures === 0;
-  const until = renewed ? clock + Math.min(leaseMs, state.bounds.maxLeaseMs) : null;
+  const leaseMs = Math.min(longestLeaseMs, state.bounds.maxLeaseMs);
+  const until = renewed ? clock + leaseMs : null;
   if (until !== null) worker.leaseUntil = Math.max(worker.leaseUntil, until);
   worker.holdSentAt = now.at;
-  // The first answer tells the clock, and unwritten ends are known already: neither may wait.
-  const waitMs = clock === null || worker.lastEnd > worker.lastSeen ? 0 : holdWaitMs;
+  // The first answer tells the clock, or that a cut has healed, and unwritten ends are known
+  // already: none of these may wait.
+  const waitMs = !renewed || worker.lastEnd > worker.lastSeen ? 0 : holdWaitMs;
   return [
     {
       type: 'callWorker',
--- a/test/control/office.test.ts
+++ b/test/control/office.test.ts
@@ -156,3 +156,45 @@
   runFor(office, 18_000);
   expect(office.runs.map(({ kind }) => kind)).toEqual(['done']);
 });
+
+// Guards against appends that nobody answers, after which callers cannot come back: nothing is sent
+// to a store that is known to be silent, so a refusal is true and comes at once.
+test('a silent store makes refusals immediate', () => {
+  const office = createOffice({ vms: 2, workers: 2 });
+  runFor(office, 3000);
+  office.store.silent = true;
+  runFor(office, 2000);
+  const request = submitJob(office, 'a');
+  runFor(office, 10);
+  expect(office.answers.get(request)).toMatchObject({ type: 'refused', reason: 'store-silent' });
+  office.store.silent = false;
+  runFor(office, 2000);
+  const repeated = submitJob(office, 'a');
+  runFor(office, 1000);
+  expect(office.answers.get(repeated)).toEqual({ type: 'accepted' });
+});
+
+// Guards against a restart of the lead that waits for its own former life to be silent.
+test('a restarted lead leads again at once', () => {
+  const office = createOffice({ vms: 1, workers: 1 });
+  runFor(office, 3000);
+  const [vm] = office.vms;
+  killVm(vm!);
+  runFor(office, 100);
+  startVm(office, vm!);
+  runFor(office, 500);
+  expect(findLead(office)?.id).toBe(vm!.id);
+});
+
+// Guards against runs that end with their leases although the cut was shorter than a lease.
+test('runs outlast a cut that is shorter than the longest lease', () => {
+  const office = createOffice({ vms: 1, workers: 2, maxLeaseMs: 10_000 });
+  runFor(office, 3000);
+  submitJob(office, 'a', { runMs: 12_000 });
+  runFor(office, 2700);
+  office.vms[0]!.cutFromWorkers = true;
+  runFor(office, 6500);
+  office.vms[0]!.cutFromWorkers = false;
+  runFor(office, 9000);
+  expect(office.runs.map(({ kind }) => kind)).toEqual(['done']);
+});
--- a/test/control/world/FakeStore.ts
+++ b/test/control/world/FakeStore.ts
@@ -12,16 +12,23 @@
   answer: () => void;
 }
 
-/** The store of the fake platform. */
-export interface FakeStore {
-  streams: Record<StreamName, StoredRecord[]>;
-  readers: Record<StreamName, FakeReader[]>;
+/** What the store remembers of the fenced appends to a stream. */
+interface FakeFence {
   epoch: number;
   sequence: number;
   /** Answer to the last fenced append, for a repeat. */
   lastAnswer: { offset: number; end: number };
+}
+
+/** The store of the fake platform. */
+export interface FakeStore {
+  streams: Record<StreamName, StoredRecord[]>;
+  readers: Record<StreamName, FakeReader[]>;
+  fences: Record<StreamName, FakeFence>;
   /** Refuses every call. */
   down: boolean;
+  /** Answers nothing and does nothing. */
+  silent: boolean;
   /** Share of appends that are done and not answered. */
   lostShare: number;
 }
--- a/test/control/world/Office.ts
+++ b/test/control/world/Office.ts
@@ -18,6 +18,8 @@
   logs: { at: number; vmId: string; code: string; fields: Record<string, unknown> }[];
   queue: { at: number; order: number; action: () => void }[];
   order: number;
+  /** Longest lease that workers grant. */
+  maxLeaseMs: number;
   /** Share of orders to workers that are not answered and carried out seconds later. */
   lateShare: number;
   random: () => number;
--- a/test/control/world/createOffice.ts
+++ b/test/control/world/createOffice.ts
@@ -1,6 +1,7 @@
 import { createState } from '../../../src/control/createState.js';
 import { reduce } from '../../../src/control/reduce.js';
 import type { Effect } from '../../../src/control/Effect.js';
+import type { StreamName } from '../../../src/control/streams/StreamName.js';
 import { after } from './after.js';
 import type { FakeVm } from './FakeVm.js';
 import { createRandom } from '../../fuzz/world/createRandom.js';
@@ -11,8 +12,9 @@
 const tickMs = 100;
 const epochWall = 1_700_000_000_000;
 
+const usualLeaseMs = 6000;
+
 const bounds = {
-  maxLeaseMs: 6000,
   statusKeepMs: 120_000,
   graceMs: 6000,
 };
@@ -56,7 +58,7 @@
   const { life } = vm;
   vm.state = createState(
     { vmId: vm.id, zone: 'z', cores: 0.675, incarnation: `${vm.id}-${life}` },
-    bounds,
+    { ...bounds, maxLeaseMs: office.maxLeaseMs },
   );
   office.push(vm, { type: 'started' });
   const tick = (): void => {
@@ -125,23 +127,32 @@
   worker.running.clear();
 };
 
+interface OfficeOptions {
+  vms: number;
+  workers: number;
+  seed?: number;
+  maxLeaseMs?: number;
+}
+
 /** Creates an office of VMs and workers around an empty store. */
-export const createOffice = (options: { vms: number; workers: number; seed?: number }): Office => {
-  const empty = <T>(): Record<'config' | 'journal' | 'claims' | 'workers', T[]> => ({
-    config: [],
-    journal: [],
-    claims: [],
-    workers: [],
+export const createOffice = (options: OfficeOptions): Office => {
+  const maxLeaseMs = options.maxLeaseMs ?? usualLeaseMs;
+  const forEachStream = <T>(create: () => T): Record<StreamName, T> => ({
+    config: create(),
+    journal: create(),
+    runs: create(),
+    claims: create(),
+    workers: create(),
   });
+  const createFence = () => ({ epoch: 0, sequence: -1, lastAnswer: { offset: 0, end: 0 } });
   const office: Office = {
     now: 0,
     store: {
-      streams: empty(),
-      readers: empty(),
-      epoch: 0,
-      sequence: -1,
-      lastAnswer: { offset: 0, end: 0 },
+      streams: forEachStream(() => []),
+      readers: forEachStream(() => []),
+      fences: forEachStream(createFence),
       down: false,
+      silent: false,
       lostShare: 0,
     },
     vms: [],
@@ -151,6 +162,7 @@
     logs: [],
     queue: [],
     order: 0,
+    maxLeaseMs,
     lateShare: 0,
     random: createRandom(options.seed ?? 1),
     runEffect: (vm, effect) => runEffect(office, vm, effect),
@@ -165,7 +177,10 @@
   for (let number = 0; number < options.vms; number += 1) {
     const vm: FakeVm = {
       id: `vm${number}`,
-      state: createState({ vmId: '', zone: '', cores: 1, incarnation: '' }, bounds),
+      state: createState(
+        { vmId: '', zone: '', cores: 1, incarnation: '' },
+        { ...bounds, maxLeaseMs },
+      ),
       up: false,
       cutFromStore: false,
       cutFromWorkers: false,
--- a/test/control/world/serveStore.ts
+++ b/test/control/world/serveStore.ts
@@ -16,7 +16,7 @@
 const decodeAt = (office: Office, stream: StreamName, offset: number): StreamRecord => {
   const stored = office.store.streams[stream][offset]!;
   if (stored.decoded) return { ...(stored.decoded as StreamRecord), offset };
-  const decoded = decodeRecord(stored, stream as 'journal' | 'claims');
+  const decoded = decodeRecord(stored, stream as 'journal' | 'runs' | 'claims');
   return decoded ? { ...decoded, offset } : { type: 'unreadable', key: stored.key, offset };
 };
 
@@ -77,15 +77,16 @@
   });
   if (condition.type === 'endsAt' && condition.offset !== end) return fail('conflict');
   if (condition.type === 'fenced') {
-    if (condition.token < store.epoch) return fail('fenced');
-    if (condition.token === store.epoch) {
-      if (condition.sequence === store.sequence)
-        return { type: 'appended', appendId, ...store.lastAnswer };
-      if (condition.sequence !== store.sequence + 1) return fail('sequence');
+    const fence = store.fences[stream];
+    if (condition.token < fence.epoch) return fail('fenced');
+    if (condition.token === fence.epoch) {
+      if (condition.sequence === fence.sequence)
+        return { type: 'appended', appendId, ...fence.lastAnswer };
+      if (condition.sequence !== fence.sequence + 1) return fail('sequence');
     }
-    store.epoch = condition.token;
-    store.sequence = condition.sequence;
-    store.lastAnswer = { offset: end, end: end + records.length };
+    fence.epoch = condition.token;
+    fence.sequence = condition.sequence;
+    fence.lastAnswer = { offset: end, end: end + records.length };
   }
   records.forEach((record) => storeRecord(office, stream, encodeRecord(record)));
   return { type: 'appended', appendId, offset: end, end: end + records.length };
@@ -96,6 +97,11 @@
     ? { type: 'appendFailed', appendId: effect.appendId, reason: 'refused', end: 0 }
     : { type: 'readFailed', stream: effect.stream, readId: effect.readId, reason: 'refused' };
 
+const ignore = (effect: StreamEffect): StreamEvent =>
+  effect.type === 'append'
+    ? { type: 'appendFailed', appendId: effect.appendId, reason: 'unknown', end: 0 }
+    : { type: 'readFailed', stream: effect.stream, readId: effect.readId, reason: 'unreachable' };
+
 /** Serves one call of a VM to the store. */
 export const serveStore = (office: Office, vm: FakeVm, effect: StreamEffect): void => {
   const { life } = vm;
@@ -104,6 +110,10 @@
       if (vm.life === life) office.push(vm, event);
     });
   after(office, answerMs / 2, () => {
+    if (office.store.silent) {
+      after(office, effect.timeoutMs, () => reply(ignore(effect)));
+      return;
+    }
     if (office.store.down || vm.cutFromStore) {
       reply(refuse(effect));
       return;
--- a/test/control/world/serveWorker.ts
+++ b/test/control/world/serveWorker.ts
@@ -8,7 +8,6 @@
 import type { Office } from './Office.js';
 
 const wayMs = 1;
-const maxLeaseMs = 6000;
 const latestLateMs = 4000;
 
 /** Run time of a task: the number in its spec. */
@@ -48,7 +47,7 @@
   if (call.until < clock) return { type: 'refused', reason: 'late', clock };
   if ((worker.over.get(call.task) ?? 0) >= call.run)
     return { type: 'refused', reason: 'old-run', clock };
-  worker.leaseUntil = Math.max(worker.leaseUntil, Math.min(call.until, clock + maxLeaseMs));
+  worker.leaseUntil = Math.max(worker.leaseUntil, Math.min(call.until, clock + office.maxLeaseMs));
   if (worker.running.has(call.task)) return { type: 'done', clock };
   const run: FakeRun = {
     task: call.task,
@@ -117,7 +116,10 @@
 ): WorkerAnswer => {
   const clock = readClock(office, worker);
   if (call.until !== null) {
-    worker.leaseUntil = Math.max(worker.leaseUntil, Math.min(call.until, clock + maxLeaseMs));
+    worker.leaseUntil = Math.max(
+      worker.leaseUntil,
+      Math.min(call.until, clock + office.maxLeaseMs),
+    );
   }
   worker.ended.forEach(({ number, run }) => {
     if (number <= call.lastSeen) run.noted = true;
