Stop a gang whose member's start is unanswered, let strong VMs lead first

Change: an unanswered start breaks the gang at once; the first claims follow the order by cores too. Two tests failed before.

--- a/src/control/lead/electionHandlers.ts
+++ b/src/control/lead/electionHandlers.ts
@@ -22,8 +22,9 @@
 const isLeadSilent = (state: State, now: Now): boolean => {
   const { lead } = state;
   if (isOwnFormerLife(state)) return true;
-  // At the first look at the journal, an old lead gets the time for one beat.
-  lead.lastSeenAt ??= lead.token === 0 ? Number.NEGATIVE_INFINITY : now.at;
+  // From the first look at the journal, an old lead gets the time for one beat, and strong VMs claim
+  // before weak ones where there was no lead yet.
+  lead.lastSeenAt ??= now.at;
   const silenceMs = now.at - lead.lastSeenAt;
   const waitMs = computeRank(state) * rankStepMs;
   return silenceMs >= (lead.resigned || lead.token === 0 ? 0 : leadSilenceMs) + waitMs;
--- a/src/control/workers/handleStartAnswer.ts
+++ b/src/control/workers/handleStartAnswer.ts
@@ -1,3 +1,4 @@
+import { findTask } from '../plans/findTask.js';
 import { noteRefusedStart } from '../runs/noteRefusedStart.js';
 import { stopTask } from '../runs/stopTask.js';
 import type { AnswerHandler } from './AnswerHandler.js';
@@ -19,5 +20,8 @@
     ];
   }
   if (answer.type === 'refused') return noteRefusedStart(term, worker, task, answer.reason, event);
+  // The others of a gang wait for this member only so long; all are started anew together.
+  const step = findTask(term, task.name)?.step;
+  if (step?.step.gang) term.brokenGangs.add(step);
   return stopTask(term, task, 'start-unanswered', event);
 };
--- a/test/control/office.test.ts
+++ b/test/control/office.test.ts
@@ -198,3 +198,23 @@
   runFor(office, 9000);
   expect(office.runs.map(({ kind }) => kind)).toEqual(['done']);
 });
+
+// Guards against a weak VM that becomes the first lead because it happened to start first.
+test('a strong VM leads first', () => {
+  const leads = [1, 2, 3, 4].map((seed) => {
+    const office = createOffice({ vms: 4, workers: 1, cores: [0.243, 0.243, 1.35, 0.243], seed });
+    runFor(office, 3000);
+    return findLead(office)?.id;
+  });
+  expect(leads).toEqual(Array(4).fill('vm2'));
+});
+
+// Guards against members that wait in vain for one whose start nobody answered.
+test('a gang with an unanswered start is stopped as a whole', () => {
+  const office = createOffice({ vms: 1, workers: 2 });
+  runFor(office, 3000);
+  stopWorker(office, 'w1');
+  submitJob(office, 'a', { runMs: 9000, steps: [{ count: 2, gang: true, maxPerWorker: 1 }] });
+  runFor(office, 1500);
+  expect(office.runs.map(({ workerId, kind }) => [workerId, kind])).toEqual([['w0', 'stopped']]);
+});
--- a/test/control/world/FakeVm.ts
+++ b/test/control/world/FakeVm.ts
@@ -4,6 +4,8 @@
 export interface FakeVm {
   id: string;
   state: State;
+  /** Share of a usual core that it has. */
+  cores: number;
   up: boolean;
   /** Is refused by the store while others are served. */
   cutFromStore: boolean;
--- a/test/control/world/createOffice.ts
+++ b/test/control/world/createOffice.ts
@@ -13,6 +13,7 @@
 const epochWall = 1_700_000_000_000;
 
 const usualLeaseMs = 6000;
+const usualCores = 0.675;
 
 const bounds = {
   statusKeepMs: 120_000,
@@ -57,7 +58,7 @@
   vm.life += 1;
   const { life } = vm;
   vm.state = createState(
-    { vmId: vm.id, zone: 'z', cores: 0.675, incarnation: `${vm.id}-${life}` },
+    { vmId: vm.id, zone: 'z', cores: vm.cores, incarnation: `${vm.id}-${life}` },
     { ...bounds, maxLeaseMs: office.maxLeaseMs },
   );
   office.push(vm, { type: 'started' });
@@ -132,6 +133,8 @@
   workers: number;
   seed?: number;
   maxLeaseMs?: number;
+  /** Cores of each VM. */
+  cores?: number[];
 }
 
 /** Creates an office of VMs and workers around an empty store. */
@@ -181,6 +184,7 @@
         { vmId: '', zone: '', cores: 1, incarnation: '' },
         { ...bounds, maxLeaseMs },
       ),
+      cores: options.cores?.[number] ?? usualCores,
       up: false,
       cutFromStore: false,
       cutFromWorkers: false,
