Learn the workers' speeds from the progress of their runs

Speeds came from run times at the end: all members of a gang end with its slowest, so fast workers looked slow, and declared times are off by a factor of two.

Ruled out: waiting for room (half of the jobs start within 0.15 s). A trial that logged each listed progress showed that members of one gang move on at their own workers' pace (0.0165 and 0.0068 percent a ms in one gang), so the ratio of two members tells their workers' speeds within the first seconds.

Change: the pace of each run between looks is split, by the variance of both, into the worker's slowness and the step's overrun; a change of pace of all runs of a worker moves its slowness at once. Workers that have turned slow get other work last. What is kept for urgent work no longer changes with each small change of an estimate.

--- a/src/adapters/journal/decodeRecord.ts
+++ b/src/adapters/journal/decodeRecord.ts
@@ -50,7 +50,7 @@
       type: 'speeds',
       speeds: recordSchemas.speeds
         .parse(value)
-        .map(([workerId, slowness, measuredRuns]) => ({ workerId, slowness, measuredRuns })),
+        .map(([workerId, mean, variance]) => ({ workerId, slowness: { mean, variance } })),
     }),
   ],
   [journalKeys.lead, (value) => ({ type: 'lead', ...recordSchemas.lead.parse(value) })],
--- a/src/adapters/journal/encodeRecord.ts
+++ b/src/adapters/journal/encodeRecord.ts
@@ -49,7 +49,7 @@
   }),
   speeds: ({ speeds }) => ({
     key: journalKeys.speeds,
-    value: pack(speeds.map(({ workerId, slowness, measuredRuns }) => [workerId, slowness, measuredRuns])),
+    value: pack(speeds.map(({ workerId, slowness }) => [workerId, slowness.mean, slowness.variance])),
   }),
   dropped: ({ of, id }) => ({ key: `${journalKeys[of]}/${id}`, value: Buffer.alloc(0) }),
   claim: ({ vmId, incarnation }) => ({
--- a/src/control/lead/Term.ts
+++ b/src/control/lead/Term.ts
@@ -29,8 +29,12 @@
   writers: Record<LeadStream, LeadWriter>;
   /** Recent peak of the accelerators that urgent work needs, and when it was noted. */
   urgentDemand: { gpu: number; at: number };
-  /** When speeds were last written, and the number of runs that they rested on. */
-  speedsWritten: { at: number; runs: number };
+  /** Smoothed logarithm of run times over declared ones, by queue. */
+  overruns: Map<string, number>;
+  /** Monotonic time at which speeds were last written. */
+  speedsAt: number;
+  /** Workers that the last placement pass kept for urgent work. */
+  keptWorkers: Set<string>;
   /** Ends were listed that are not acknowledged. */
   endsDue: boolean;
   /** Monotonic time of the last placement pass. */
--- a/src/control/lead/advanceTerm.ts
+++ b/src/control/lead/advanceTerm.ts
@@ -16,11 +16,9 @@
 
 /** Takes over what the former lead has learned. */
 const restoreSpeeds = (term: Term): void => {
-  term.former.speeds.forEach(({ workerId, slowness, measuredRuns }) => {
+  term.former.speeds.forEach(({ workerId, slowness }) => {
     const worker = term.workers.get(workerId);
-    if (!worker) return;
-    worker.slowness = slowness;
-    worker.measuredRuns = measuredRuns;
+    if (worker) worker.slowness = { ...slowness };
   });
 };
 
--- a/src/control/placement/choosePlaces.ts
+++ b/src/control/placement/choosePlaces.ts
@@ -31,17 +31,24 @@
 // Workers whose speeds differ by less than this factor's logarithm count as equally fast.
 const speedStep = 0.25;
 
-const computeSpeedStep = ({ worker }: Room): number => Math.round(worker.slowness / speedStep);
+const computeSpeedStep = ({ worker }: Room): number => Math.round(worker.slowness.mean / speedStep);
 
 /** Urgent work goes to the fastest, then to the fullest. */
 const compareSpeed = (a: Room, b: Room): number =>
   computeSpeedStep(a) - computeSpeedStep(b) || compareRoom(a, b);
 
-/** Other work goes to the fullest, and last to what is kept for urgent work. */
+// Workers that are slower than a usual one by this factor's logarithm have a fault.
+const faultySlowness = Math.log(2.5);
+
+const isFaulty = ({ worker }: Room): boolean => worker.slowness.mean > faultySlowness;
+
+/** Other work goes to the fullest, and last to what is kept for urgent work or has turned slow. */
 const compareFill =
   ({ kept }: Pass) =>
   (a: Room, b: Room): number =>
-    Number(kept.has(a.worker.id)) - Number(kept.has(b.worker.id)) || compareRoom(a, b);
+    Number(isFaulty(a)) - Number(isFaulty(b)) ||
+    Number(kept.has(a.worker.id)) - Number(kept.has(b.worker.id)) ||
+    compareRoom(a, b);
 
 /**
  * Chooses workers for a number of the unit's tasks, urgent ones on the fastest, others
--- a/src/control/placement/keepForUrgent.ts
+++ b/src/control/placement/keepForUrgent.ts
@@ -13,6 +13,10 @@
 // Part of what is guaranteed that is kept before any urgent work was seen.
 const guaranteedPart = 0.5;
 
+// A worker that is kept stays so, unless another is faster by more than this logarithm of a factor:
+// a change of mind would keep workers that are full of other work.
+const keptLead = 0.25;
+
 const countDemand = (term: Term): number => {
   let gpu = 0;
   term.plans.forEach((plan) => {
@@ -55,11 +59,14 @@
   );
   let left = Math.min(wanted, countGpu(workers) * mostKept);
   const kept = new Set<string>();
-  workers.sort((a, b) => a.slowness - b.slowness);
+  const getRank = ({ id, slowness }: Worker): number =>
+    slowness.mean - (term.keptWorkers.has(id) ? keptLead : 0);
+  workers.sort((a, b) => getRank(a) - getRank(b));
   for (const worker of workers) {
     if (left <= 0) break;
     left -= worker.entry?.capacity.gpu ?? 0;
     kept.add(worker.id);
   }
+  term.keptWorkers = kept;
   return kept;
 };
--- a/src/control/placement/placeGang.ts
+++ b/src/control/placement/placeGang.ts
@@ -32,7 +32,8 @@
     .filter(({ places }) => places.length === count)
     .map(({ places, rack }) => ({
       places,
-      slowness: unit.plan.priority === 0 ? Math.max(...places.map((place) => place.slowness)) : 0,
+      slowness:
+        unit.plan.priority === 0 ? Math.max(...places.map((place) => place.slowness.mean)) : 0,
       left: countFreeGpu(pass, rack),
     }))
     .sort((a, b) => a.slowness - b.slowness || a.left - b.left);
--- a/src/control/plans/StepPlan.ts
+++ b/src/control/plans/StepPlan.ts
@@ -1,4 +1,5 @@
 import type { Step } from '../jobs/Step.js';
+import type { Estimate } from '../workers/Estimate.js';
 import type { Task } from './Task.js';
 
 /** One step of an occurrence. */
@@ -16,4 +17,6 @@
   failedRun: number;
   /** Monotonic time from which the step waits to be placed. */
   readySince: number;
+  /** Logarithm of the step's run times over its declared one, on a usual worker. */
+  overrun: Estimate;
 }
--- a/src/control/plans/Task.ts
+++ b/src/control/plans/Task.ts
@@ -28,4 +28,6 @@
   percent: number;
   /** Monotonic time at which `percent` last changed. */
   percentAt: number;
+  /** Progress from which the next sample of the run's pace counts, and its first pace. */
+  sample: { percent: number; at: number; pace: number | null };
 }
--- a/src/control/plans/createOccurrence.ts
+++ b/src/control/plans/createOccurrence.ts
@@ -3,6 +3,9 @@
 import type { OccurrencePlan } from './OccurrencePlan.js';
 import type { StepPlan } from './StepPlan.js';
 
+// Declared times are off by a factor of two either way.
+const overrunDeviation = 0.6;
+
 /** Creates the plan of one occurrence of a job. */
 export const createOccurrence = (
   submission: Submission,
@@ -21,6 +24,7 @@
     failures: 0,
     failedRun: 0,
     readySince: at,
+    overrun: { mean: 0, variance: overrunDeviation ** 2 },
   }));
   return {
     number,
--- a/src/control/plans/createTask.ts
+++ b/src/control/plans/createTask.ts
@@ -24,4 +24,5 @@
   stopSentAt: null,
   percent: 0,
   percentAt: at,
+  sample: { percent: 0, at, pace: null },
 });
--- a/src/control/plans/restorePlan.ts
+++ b/src/control/plans/restorePlan.ts
@@ -1,6 +1,7 @@
 import type { TaskProgress } from '../jobs/TaskProgress.js';
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
+import { beginRun } from '../runs/beginRun.js';
 import { placeTask } from '../workers/placeTask.js';
 import { getWorker } from '../workers/getWorker.js';
 import { createOccurrence } from './createOccurrence.js';
@@ -23,8 +24,7 @@
   if (saved.state === 'started') {
     // The worker's next listing tells whether the run is there.
     placeTask(getWorker(term, saved.workerId, now), task);
-    task.state = 'running';
-    task.since = now.at;
+    beginRun(task, now);
   }
 };
 
--- a/src/control/runs/noteDone.ts
+++ b/src/control/runs/noteDone.ts
@@ -8,7 +8,6 @@
 import type { Task } from '../plans/Task.js';
 import { freeTask } from '../workers/freeTask.js';
 import type { Worker } from '../workers/Worker.js';
-import { noteSpeed } from '../workers/noteSpeed.js';
 import { requeueTask } from './requeueTask.js';
 import { stopTask } from './stopTask.js';
 
@@ -22,7 +21,6 @@
   if (place?.step.step.longRunning) return requeueTask(term, task, 'done', now);
   const effects: Effect[] = [];
   if (task.workerId === worker.id) {
-    if (place) noteSpeed(worker, place.step, task, now);
     freeTask(worker, task);
   } else effects.push(...stopTask(term, task, 'job-ended', now));
   worker.failedJobs.clear();
--- a/src/control/workers/Worker.ts
+++ b/src/control/workers/Worker.ts
@@ -1,5 +1,6 @@
 import type { Resources } from '../Resources.js';
 import type { Task } from '../plans/Task.js';
+import type { Estimate } from './Estimate.js';
 import type { WorkerEntry } from './WorkerEntry.js';
 
 /** A worker as the lead sees it. */
@@ -35,10 +36,8 @@
   used: Resources;
   /** Runs that belong to no plan, by task name, with their run numbers. */
   strangers: Map<string, number>;
-  /** Smoothed logarithm of run times over declared ones; tells how slow it is. */
-  slowness: number;
-  /** Runs that `slowness` rests on. */
-  measuredRuns: number;
+  /** Logarithm of its run times over those of a usual worker. */
+  slowness: Estimate;
   /** Failed runs since its last success, by job. */
   failedJobs: Map<string, number>;
   /** Monotonic time up to which it gets no work. */
--- a/src/control/workers/WorkerSpeed.ts
+++ b/src/control/workers/WorkerSpeed.ts
@@ -1,7 +1,7 @@
+import type { Estimate } from './Estimate.js';
+
 /** What a term has learned about a worker's speed. */
 export interface WorkerSpeed {
   workerId: string;
-  /** Smoothed logarithm of run times over declared ones. */
-  slowness: number;
-  measuredRuns: number;
+  slowness: Estimate;
 }
--- a/src/control/workers/applyListing.ts
+++ b/src/control/workers/applyListing.ts
@@ -1,13 +1,18 @@
 import type { Effect } from '../Effect.js';
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
+import { findTask } from '../plans/findTask.js';
 import type { Task } from '../plans/Task.js';
+import { beginRun } from '../runs/beginRun.js';
 import { applyEnd } from '../runs/applyEnd.js';
 import { buildStop } from '../runs/buildStop.js';
 import { requeueTask } from '../runs/requeueTask.js';
 import { sendStop } from '../runs/sendStop.js';
+import { learnSlowness } from './learnSlowness.js';
 import type { ListedRun } from './ListedRun.js';
+import { measurePace } from './measurePace.js';
 import { noteRebirth } from './noteRebirth.js';
+import type { PaceSample } from './PaceSample.js';
 import { stopStuckRuns } from './stopStuckRuns.js';
 import type { Worker } from './Worker.js';
 import type { WorkerAnswer } from './WorkerAnswer.js';
@@ -26,14 +31,20 @@
     task.percent = listed.percent;
     task.percentAt = now.at;
   }
-  if (task.state === 'starting') {
-    task.state = 'running';
-    task.since = now.at;
-  }
+  if (task.state === 'starting') beginRun(task, now);
   if (task.state === 'running') task.confirmedAt = now.at;
   return task.state === 'done' ? sendStop(term, worker, task, now) : [];
 };
 
+const measurePaces = (term: Term, worker: Worker, now: Now): PaceSample[] =>
+  [...worker.tasks.values()].flatMap((task) => {
+    const place = task.state === 'running' ? findTask(term, task.name) : null;
+    if (!place) return [];
+    const { queue } = place.plan.submission;
+    const sample = measurePace(worker, { queue, step: place.step, task }, now);
+    return sample ? [sample] : [];
+  });
+
 const stopStranger = (term: Term, worker: Worker, listed: ListedRun): Effect[] => {
   worker.strangers.set(listed.task, listed.run);
   const fields = { task: listed.task, run: listed.run, worker: worker.id };
@@ -102,5 +113,6 @@
   effects.push(...applyRunning(term, worker, listing, now));
   effects.push(...dropUnlisted(term, worker, listing, sentAt, now));
   effects.push(...stopStuckRuns(term, worker, now));
+  learnSlowness(worker, measurePaces(term, worker, now), term.overruns);
   return effects;
 };
--- a/src/control/workers/getWorker.ts
+++ b/src/control/workers/getWorker.ts
@@ -1,5 +1,6 @@
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
+import { createSlowness } from './createSlowness.js';
 import type { Worker } from './Worker.js';
 
 const createWorker = (id: string, now: Now): Worker => ({
@@ -20,8 +21,7 @@
   tasks: new Map(),
   used: { cpu: 0, memMb: 0, gpu: 0 },
   strangers: new Map(),
-  slowness: 0,
-  measuredRuns: 0,
+  slowness: createSlowness(),
   failedJobs: new Map(),
   asideUntil: Number.NEGATIVE_INFINITY,
   timesAside: 0,
--- a/src/control/workers/handleStartAnswer.ts
+++ b/src/control/workers/handleStartAnswer.ts
@@ -1,4 +1,5 @@
 import { findTask } from '../plans/findTask.js';
+import { beginRun } from '../runs/beginRun.js';
 import { noteRefusedStart } from '../runs/noteRefusedStart.js';
 import { stopTask } from '../runs/stopTask.js';
 import type { AnswerHandler } from './AnswerHandler.js';
@@ -10,9 +11,7 @@
   const task = worker.tasks.get(call.task);
   if (task?.run !== call.run || task.state !== 'starting') return [];
   if (answer.type === 'done') {
-    task.state = 'running';
-    task.since = event.at;
-    task.percentAt = event.at;
+    beginRun(task, event);
     task.confirmedAt = event.at;
     return [
       { type: 'observe', name: 'start_order_ms', ms: event.at - event.sentAt },
--- a/src/control/workers/noteRebirth.ts
+++ b/src/control/workers/noteRebirth.ts
@@ -5,6 +5,7 @@
 import { requeueTask } from '../runs/requeueTask.js';
 import { sendStop } from '../runs/sendStop.js';
 import { stopTask } from '../runs/stopTask.js';
+import { createSlowness } from './createSlowness.js';
 import type { ListedRun } from './ListedRun.js';
 import type { Worker } from './Worker.js';
 
@@ -56,6 +57,7 @@
   worker.leaseUntil = 0;
   worker.strangers.clear();
   worker.failedJobs.clear();
+  worker.slowness = createSlowness();
   worker.nextHoldAt = now.at;
   term.placementDue = true;
   return [
--- a/test/control/office.test.ts
+++ b/test/control/office.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from '@jest/globals';
+import { createSlowness } from '../../src/control/workers/createSlowness.js';
 import { createOffice, killVm, listWorker, startVm, stopWorker } from './world/createOffice.js';
 import { findBrokenRules } from './world/findBrokenRules.js';
 import { findLead } from './world/findLead.js';
@@ -139,13 +140,14 @@
 test('a new lead knows the speeds of the workers', () => {
   const office = createOffice({ vms: 2, workers: 2 });
   runFor(office, 3000);
-  for (let job = 0; job < 4; job += 1) submitJob(office, `a${job}`, { runMs: 900 });
+  submitJob(office, 'a', { runMs: 4000, steps: [{ count: 2, maxPerWorker: 1 }] });
   runFor(office, 8000);
   const former = findLead(office)!;
   killVm(former);
   runFor(office, 4000);
-  const measured = [...findLead(office)!.state.term!.workers.values()].map((w) => w.measuredRuns);
-  expect(measured.reduce((sum, runs) => sum + runs, 0)).toBe(4);
+  const unknown = createSlowness().variance;
+  const workers = [...findLead(office)!.state.term!.workers.values()];
+  expect(workers.map(({ slowness }) => slowness.variance < unknown)).toEqual([true, true]);
 });
 
 // Guards against stragglers that are stopped because their figure of progress is full.
--- a/test/control/placement.test.ts
+++ b/test/control/placement.test.ts
@@ -36,7 +36,7 @@
   runFor(office, 3000);
   const { workers } = office.vms[0]!.state.term!;
   workers.forEach((worker) => {
-    worker.slowness = worker.id === 'w2' ? -0.5 : 0.4;
+    worker.slowness.mean = worker.id === 'w2' ? -0.5 : 0.4;
   });
   submitJob(office, 'a', { queue: 'u' });
   runFor(office, 300);
--- a/test/control/world/FakeWorker.ts
+++ b/test/control/world/FakeWorker.ts
@@ -17,6 +17,8 @@
   over: Map<string, number>;
   /** All runs end as failed. */
   failing: boolean;
+  /** Rate at which it works, against a usual worker. */
+  speed: number;
   /** Nothing that runs moves on. */
   hanging: boolean;
 }
--- a/test/control/world/createOffice.ts
+++ b/test/control/world/createOffice.ts
@@ -112,6 +112,7 @@
     lastEnd: 0,
     over: new Map(),
     failing: false,
+    speed: 1,
     hanging: false,
   });
   listWorker(office, id, 'ready');
--- a/test/control/world/serveWorker.ts
+++ b/test/control/world/serveWorker.ts
@@ -54,7 +54,7 @@
     run: call.run,
     workerId: worker.id,
     startedAt: office.now,
-    dueAt: office.now + readRunMs(call.spec),
+    dueAt: office.now + readRunMs(call.spec) / worker.speed,
     endedAt: null,
     kind: null,
     checkpoint: call.checkpoint,
