Bill what ran, estimate workers' clocks from late answers, claim only against a silent lead

Cause: the daemon on the platform kept no record that an invoice can rest on.

Ruled out: a record per run (the store keeps 20 s of history, and a key per run for good grows without end); the lead's clock for the whole of a run, which bills its suspensions.

Time in which nobody saw a run is named as unknown, beside the sums. The clock of a worker is never estimated lower than its slowest rate allows. Before a claim, the lead has to be silent still.

--- a/src/adapters/journal/decodeRecord.ts
+++ b/src/adapters/journal/decodeRecord.ts
@@ -13,7 +13,7 @@
 const decodeProgress: Decoder = (value, id) => {
   const [state, endedAt, rows] = recordSchemas.progress.parse(value);
   const tasks = rows.map(
-    ([occurrence, step, index, taskState, run, failures, workerId, checkpoint]) => ({
+    ([occurrence, step, index, taskState, run, failures, workerId, checkpoint, startedAt]) => ({
       occurrence,
       step,
       index,
@@ -22,6 +22,7 @@
       failures,
       workerId,
       checkpoint,
+      startedAt,
     }),
   );
   return { type: 'progress', id, progress: { state, endedAt, tasks } };
@@ -53,6 +54,10 @@
         .map(([workerId, mean, variance]) => ({ workerId, slowness: { mean, variance } })),
     }),
   ],
+  [
+    journalKeys.usage,
+    (value) => ({ type: 'usage', total: recordSchemas.usage.parse(value) }),
+  ],
   [journalKeys.lead, (value) => ({ type: 'lead', ...recordSchemas.lead.parse(value) })],
 ]);
 
@@ -60,6 +65,7 @@
   [journalKeys.submission, 'submission'],
   [journalKeys.cancellation, 'cancellation'],
   [journalKeys.status, 'status'],
+  [journalKeys.usage, 'usage'],
   [journalKeys.progress, 'progress'],
 ] as const);
 
@@ -68,11 +74,12 @@
   { key, value }: EncodedRecord,
   stream: 'journal' | 'runs' | 'claims',
 ): Decoded | null => {
-  const [kind = '', id = ''] = key.split('/');
+  const [kind = '', ...rest] = key.split('/');
+  const id = rest.join('/');
   try {
     if (stream === 'claims') return { type: 'claim', ...recordSchemas.claim.parse(unpack(value)) };
     if (value.length === 0) {
-      const of = partNames.get(kind as 's' | 'c' | 't' | 'p');
+      const of = partNames.get(kind as 's' | 'c' | 't' | 'p' | 'u');
       return of ? { type: 'dropped', of, id } : null;
     }
     return decoders.get(kind)?.(unpack(value), id) ?? null;
--- a/src/adapters/journal/encodeRecord.ts
+++ b/src/adapters/journal/encodeRecord.ts
@@ -3,6 +3,7 @@
 import type { JournalRecord } from '../../control/journal/JournalRecord.js';
 import type { RunsRecord } from '../../control/journal/RunsRecord.js';
 import type { Progress } from '../../control/jobs/Progress.js';
+import { buildUsageKey } from '../../control/usage/buildUsageKey.js';
 import type { EncodedRecord } from './EncodedRecord.js';
 import { journalKeys } from './journalKeys.js';
 
@@ -26,6 +27,7 @@
       task.failures,
       task.workerId,
       task.checkpoint,
+      task.startedAt,
     ]),
   ]);
 
@@ -51,6 +53,10 @@
     key: journalKeys.speeds,
     value: pack(speeds.map(({ workerId, slowness }) => [workerId, slowness.mean, slowness.variance])),
   }),
+  usage: ({ total }) => ({
+    key: `${journalKeys.usage}/${buildUsageKey(total)}`,
+    value: pack(total),
+  }),
   dropped: ({ of, id }) => ({ key: `${journalKeys[of]}/${id}`, value: Buffer.alloc(0) }),
   claim: ({ vmId, incarnation }) => ({
     key: journalKeys.claim,
--- a/src/adapters/journal/journalKeys.ts
+++ b/src/adapters/journal/journalKeys.ts
@@ -7,4 +7,5 @@
   lead: 'l',
   claim: 'l',
   speeds: 'w',
+  usage: 'u',
 } as const;
--- a/src/adapters/journal/recordSchemas.ts
+++ b/src/adapters/journal/recordSchemas.ts
@@ -29,6 +29,7 @@
   count,
   z.string(),
   z.string(),
+  z.number(),
 ]);
 
 /** Shapes of the values in the journal; records of other writers fail here. */
@@ -55,6 +56,15 @@
     z.array(taskRow),
   ]),
   lead: z.object({ token: z.number(), vmId: z.string(), resigned: z.boolean() }),
+  usage: z.object({
+    workspace: z.string(),
+    day: z.string(),
+    runs: count,
+    gpuMs: count,
+    cpuMs: count,
+    unknownRuns: count,
+    unknownGpuMs: count,
+  }),
   speeds: z.array(z.tuple([z.string(), z.number(), z.number()])),
   claim: z.object({ vmId: z.string(), incarnation: z.string() }),
 };
--- a/src/control/jobs/TaskProgress.ts
+++ b/src/control/jobs/TaskProgress.ts
@@ -11,4 +11,6 @@
   /** Worker of the last start. */
   workerId: string;
   checkpoint: string;
+  /** Epoch milliseconds at the lead when the last run began, or 0 when none is under way. */
+  startedAt: number;
 }
--- a/src/control/journal/JournalRecord.ts
+++ b/src/control/journal/JournalRecord.ts
@@ -8,4 +8,8 @@
   /** What callers see of a job; `endedAt` is 0 until it has ended. */
   | { type: 'status'; id: string; state: JobState; endedAt: number }
   | { type: 'lead'; token: number; vmId: string; resigned: boolean }
-  | { type: 'dropped'; of: 'submission' | 'cancellation' | 'status' | 'progress'; id: string };
+  | {
+      type: 'dropped';
+      of: 'submission' | 'cancellation' | 'status' | 'progress' | 'usage';
+      id: string;
+    };
--- a/src/control/journal/recordHandlers.ts
+++ b/src/control/journal/recordHandlers.ts
@@ -1,5 +1,6 @@
 import { applyConfig } from '../config/applyConfig.js';
 import { noteLead } from '../lead/noteLead.js';
+import { applyUsage } from '../usage/applyUsage.js';
 import { applyWorkerRecord } from '../workers/applyWorkerRecord.js';
 import { applyCancellation } from './applyCancellation.js';
 import { applyProgress } from './applyProgress.js';
@@ -20,6 +21,7 @@
     if (state.term) state.term.former.speeds = speeds;
     return [];
   },
+  usage: applyUsage,
   dropped: dropPart,
   claim: () => [],
   worker: (state, { id, entry }, now) => applyWorkerRecord(state, id, entry, now),
--- a/src/control/lead/FormerTerm.ts
+++ b/src/control/lead/FormerTerm.ts
@@ -6,4 +6,6 @@
   /** Newest progress of each job, with the offset of its record. */
   progress: Map<string, Progress & { offset: number }>;
   speeds: WorkerSpeed[];
+  /** Offset of the newest record of each total of use. */
+  usageOffsets: Map<string, number>;
 }
--- a/src/control/lead/Term.ts
+++ b/src/control/lead/Term.ts
@@ -2,6 +2,7 @@
 import type { StepPlan } from '../plans/StepPlan.js';
 import type { LeadStream } from '../progress/LeadStream.js';
 import type { LeadWriter } from '../progress/LeadWriter.js';
+import type { UsageTotal } from '../usage/UsageTotal.js';
 import type { Worker } from '../workers/Worker.js';
 import type { FormerTerm } from './FormerTerm.js';
 
@@ -29,6 +30,8 @@
   writers: Record<LeadStream, LeadWriter>;
   /** Recent peak of the accelerators that urgent work needs, and when it was noted. */
   urgentDemand: { gpu: number; at: number };
+  /** Use of the workspaces by day, and the totals that have to be written. */
+  usage: { totals: Map<string, UsageTotal>; due: Set<string> };
   /** Smoothed logarithm of run times over declared ones, by queue. */
   overruns: Map<string, number>;
   /** Monotonic time at which speeds were last written. */
--- a/src/control/lead/electionHandlers.ts
+++ b/src/control/lead/electionHandlers.ts
@@ -92,6 +92,8 @@
       return stopElection(state, event, yieldMs);
     }
   }
+  // The lead may have been heard of while the claims were read.
+  if (!isLeadSilent(state, event)) return stopElection(state, event, 0);
   state.lastCallId += 1;
   election.phase = 'claiming';
   election.callId = state.lastCallId;
--- a/src/control/plans/Task.ts
+++ b/src/control/plans/Task.ts
@@ -7,6 +7,7 @@
   /** Name at the workers: job, occurrence, step and index. */
   name: string;
   jobId: string;
+  workspace: string;
   occurrence: number;
   step: number;
   index: number;
@@ -19,6 +20,10 @@
   workerId: string;
   /** Monotonic time at which the present state began. */
   since: number;
+  /** Monotonic time at which the present run was ordered; null when none may be under way. */
+  startedAt: number | null;
+  /** Monotonic time from which the present run is known to be under way, or null. */
+  seenAt: number | null;
   /** Monotonic time at which the worker last confirmed the run or its stop. */
   confirmedAt: number;
   stopReason: StopReason | null;
--- a/src/control/plans/buildProgress.ts
+++ b/src/control/plans/buildProgress.ts
@@ -1,5 +1,6 @@
 import type { Progress } from '../jobs/Progress.js';
 import type { TaskProgress } from '../jobs/TaskProgress.js';
+import type { Now } from '../Now.js';
 import { isJobEnded } from './isJobEnded.js';
 import type { JobPlan } from './JobPlan.js';
 import type { OccurrencePlan } from './OccurrencePlan.js';
@@ -15,7 +16,7 @@
   done: 'done',
 } as const;
 
-const buildTask = (step: StepPlan, task: Task): TaskProgress => ({
+const buildTask = (step: StepPlan, task: Task, now: Now): TaskProgress => ({
   occurrence: task.occurrence,
   step: task.step,
   index: task.index,
@@ -24,11 +25,12 @@
   failures: step.step.gang ? step.failures : task.failures,
   workerId: task.workerId,
   checkpoint: step.step.gang ? step.checkpoint : task.checkpoint,
+  startedAt: task.startedAt === null ? 0 : Math.round(now.wall - (now.at - task.startedAt)),
 });
 
-const listTasks = (occurrence: OccurrencePlan): TaskProgress[] =>
+const listTasks = (occurrence: OccurrencePlan, now: Now): TaskProgress[] =>
   occurrence.steps.flatMap((step) =>
-    step.tasks.filter(({ run }) => run > 0).map((task) => buildTask(step, task)),
+    step.tasks.filter(({ run }) => run > 0).map((task) => buildTask(step, task, now)),
   );
 
 /** An occurrence that is done is kept as its tasks' ends only. */
@@ -46,15 +48,19 @@
           failures: 0,
           workerId: '',
           checkpoint: '',
+          startedAt: 0,
         })),
       ),
     );
 
 /** Builds the record of a job's progress; an ended job needs no tasks. */
-export const buildProgress = (plan: JobPlan): Progress => ({
+export const buildProgress = (plan: JobPlan, now: Now): Progress => ({
   state: plan.state,
   endedAt: plan.endedAt,
   tasks: isJobEnded(plan.state)
     ? []
-    : [...listDone(plan), ...[...plan.occurrences.values()].flatMap(listTasks)],
+    : [
+        ...listDone(plan),
+        ...[...plan.occurrences.values()].flatMap((occurrence) => listTasks(occurrence, now)),
+      ],
 });
--- a/src/control/plans/createOccurrence.ts
+++ b/src/control/plans/createOccurrence.ts
@@ -17,7 +17,7 @@
     index,
     step,
     tasks: Array.from({ length: step.count }, (_, taskIndex) =>
-      createTask(submission.id, { occurrence: number, step: index, index: taskIndex }, step, at),
+      createTask(submission, { occurrence: number, step: index, index: taskIndex }, step, at),
     ),
     remaining: step.count,
     checkpoint: '',
--- a/src/control/plans/createTask.ts
+++ b/src/control/plans/createTask.ts
@@ -1,9 +1,10 @@
+import type { Submission } from '../jobs/Submission.js';
 import type { Step } from '../jobs/Step.js';
 import type { Task } from './Task.js';
 
 /** Creates a task that was never started. */
 export const createTask = (
-  jobId: string,
+  { id: jobId, workspace }: Pick<Submission, 'id' | 'workspace'>,
   place: { occurrence: number; step: number; index: number },
   step: Step,
   at: number,
@@ -11,6 +12,7 @@
   ...place,
   name: `${jobId}.${place.occurrence}.${place.step}.${place.index}`,
   jobId,
+  workspace,
   // Work that fills takes only what others leave, so it is not counted.
   need: step.fills ? { ...step.need, cpu: 0 } : step.need,
   state: 'waiting',
@@ -19,6 +21,8 @@
   checkpoint: '',
   workerId: '',
   since: at,
+  startedAt: null,
+  seenAt: null,
   confirmedAt: Number.NEGATIVE_INFINITY,
   stopReason: null,
   stopSentAt: null,
--- a/src/control/plans/restorePlan.ts
+++ b/src/control/plans/restorePlan.ts
@@ -25,6 +25,9 @@
     // The worker's next listing tells whether the run is there.
     placeTask(getWorker(term, saved.workerId, now), task);
     beginRun(task, now);
+    task.startedAt = now.at - Math.max(0, now.wall - saved.startedAt);
+    task.since = task.startedAt;
+    task.seenAt = null;
   }
 };
 
--- a/src/control/runs/applyEnd.ts
+++ b/src/control/runs/applyEnd.ts
@@ -3,6 +3,8 @@
 import type { Now } from '../Now.js';
 import { findTask } from '../plans/findTask.js';
 import type { Task } from '../plans/Task.js';
+import { noteUsage } from '../usage/noteUsage.js';
+import type { Sighting } from '../usage/Sighting.js';
 import type { ListedEnd } from '../workers/ListedEnd.js';
 import type { Worker } from '../workers/Worker.js';
 import { endHandlers } from './endHandlers.js';
@@ -16,10 +18,17 @@
 };
 
 /** Takes the end of a run into the plans. */
-export const applyEnd = (term: Term, worker: Worker, end: ListedEnd, now: Now): Effect[] => {
+export const applyEnd = (
+  term: Term,
+  worker: Worker,
+  end: ListedEnd,
+  seen: Sighting,
+  now: Now,
+): Effect[] => {
   const task = worker.tasks.get(end.task);
   if (task?.run === end.run) {
     noteCheckpoint(term, task, end.checkpoint);
+    noteUsage(term, task, 'listed', seen, now);
     return endHandlers[end.kind](term, worker, task, now);
   }
   // An earlier run that was given up for lost did finish: its result counts.
--- a/src/control/runs/requeueTask.ts
+++ b/src/control/runs/requeueTask.ts
@@ -4,13 +4,27 @@
 import { findTask } from '../plans/findTask.js';
 import { isJobEnded } from '../plans/isJobEnded.js';
 import type { Task } from '../plans/Task.js';
+import { noteUsage } from '../usage/noteUsage.js';
 import { freeTask } from '../workers/freeTask.js';
 import type { RequeueCause } from './RequeueCause.js';
 
+// The run may have been under way, and its end was not seen.
+const unseenEnds: readonly RequeueCause[] = [
+  'worker-restarted',
+  'worker-left',
+  'lease-over',
+  'not-listed',
+];
+
 /** Frees a run's room and lets its task wait again; its gang is noted, so that it stops as a whole. */
 export const requeueTask = (term: Term, task: Task, cause: RequeueCause, now: Now): Effect[] => {
   const worker = term.workers.get(task.workerId);
   if (worker) freeTask(worker, task);
+  if (worker && unseenEnds.includes(cause)) {
+    const unseenMs = now.at - worker.lastListedAt;
+    noteUsage(term, task, 'unknown', { at: now.at, unseenMs }, now);
+  }
+  task.startedAt = null;
   term.placementDue = true;
   if (task.state === 'done') return [];
   const fields = {
--- a/src/control/runs/sendStart.ts
+++ b/src/control/runs/sendStart.ts
@@ -24,6 +24,7 @@
   worker.leaseUntil = Math.max(worker.leaseUntil, until);
   task.state = 'starting';
   task.since = now.at;
+  task.startedAt = now.at;
   task.confirmedAt = Number.POSITIVE_INFINITY;
   const checkpoint = place.step.step.gang ? place.step.checkpoint : task.checkpoint;
   const fields = {
--- a/src/control/workers/applyListing.ts
+++ b/src/control/workers/applyListing.ts
@@ -3,11 +3,13 @@
 import type { Now } from '../Now.js';
 import { findTask } from '../plans/findTask.js';
 import type { Task } from '../plans/Task.js';
+import { computeSighting } from '../usage/computeSighting.js';
 import { beginRun } from '../runs/beginRun.js';
 import { applyEnd } from '../runs/applyEnd.js';
 import { buildStop } from '../runs/buildStop.js';
 import { requeueTask } from '../runs/requeueTask.js';
 import { sendStop } from '../runs/sendStop.js';
+import { getEarliestClock } from './getEarliestClock.js';
 import { learnSlowness } from './learnSlowness.js';
 import type { ListedRun } from './ListedRun.js';
 import { measurePace } from './measurePace.js';
@@ -32,7 +34,11 @@
     task.percentAt = now.at;
   }
   if (task.state === 'starting') beginRun(task, now);
-  if (task.state === 'running') task.confirmedAt = now.at;
+  if (task.state === 'running') {
+    task.confirmedAt = now.at;
+    // A run that was taken over from a former lead.
+    task.seenAt ??= task.startedAt;
+  }
   return task.state === 'done' ? sendStop(term, worker, task, now) : [];
 };
 
@@ -96,19 +102,20 @@
   // An answer of a former life tells nothing about the present one.
   if (listing.born < worker.born) return effects;
   worker.born = listing.born;
+  const seen = computeSighting(worker, listing.clock, sentAt, now);
+  worker.lastListedAt = now.at;
   // Whoever renewed before, no lease lasts longer than this.
   if (!worker.clock) worker.leaseUntil = Math.max(worker.leaseUntil, listing.clock + maxLeaseMs);
-  worker.clock = { value: listing.clock, at: now.at };
-  if (worker.failures > 0 || worker.lastListedAt < sentAt - maxLeaseMs) term.placementDue = true;
+  worker.clock = { value: Math.max(listing.clock, getEarliestClock(worker, now)), at: now.at };
+  if (worker.failures > 0 || seen.unseenMs > maxLeaseMs) term.placementDue = true;
   worker.failures = 0;
   if (lastSeen === worker.lastSeen) worker.ackDue = false;
-  worker.lastListedAt = now.at;
   listing.ended
     .filter(({ number }) => number > worker.lastEnd)
     .forEach((end) => {
       worker.lastEnd = end.number;
       term.endsDue = true;
-      effects.push(...applyEnd(term, worker, end, now));
+      effects.push(...applyEnd(term, worker, end, seen, now));
     });
   effects.push(...applyRunning(term, worker, listing, now));
   effects.push(...dropUnlisted(term, worker, listing, sentAt, now));
--- a/src/control/workers/isLeaseOver.ts
+++ b/src/control/workers/isLeaseOver.ts
@@ -1,6 +1,7 @@
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
 import type { State } from '../State.js';
+import { getEarliestClock } from './getEarliestClock.js';
 import { slowestClock } from './slowestClock.js';
 import type { Worker } from './Worker.js';
 
@@ -15,6 +16,5 @@
     const longestMs = state.bounds.maxLeaseMs / slowestClock;
     return now.at - term.since > longestMs + formerLeadMs + lapseMarginMs;
   }
-  const earliest = worker.clock.value + (now.at - worker.clock.at) * slowestClock;
-  return earliest > worker.leaseUntil + lapseMarginMs;
+  return getEarliestClock(worker, now) > worker.leaseUntil + lapseMarginMs;
 };
--- a/test/control/fuzz/foundFaults.test.ts
+++ b/test/control/fuzz/foundFaults.test.ts
@@ -24,3 +24,33 @@
   ]);
   expect(runDay(1, actions)).toEqual([]);
 });
+
+// Seed 87, run 41. A VM read the claims of a lead that it heard of in the meantime, and claimed all the
+// same; the second take-over met an outage of the store, and the ends that it learned of after that
+// were billed up to then.
+test('no claim against a lead that was heard of, no bill for an unseen time', () => {
+  const actions = buildActions([
+    ['kill', 0, 11, 1237],
+    ['submit', 87, 0, 100],
+    ['submit', 588, 0, 100],
+    ['submit', 625, 0, 100],
+    ['submit', 0, 0, 100],
+    ['storeDown', 263, 0, 3931],
+  ]);
+  expect(runDay(1, actions)).toEqual([]);
+});
+
+// Seed 87, run 288. A suspended lead took over an answer three seconds late and billed up to then.
+test('the time of a suspension is not billed', () => {
+  const actions = buildActions([
+    ['freeze', 0, 5, 2844],
+    ['storeDown', 0, 0, 458],
+    ['submit', 345, 0, 100],
+    ['ordersLate', 496, 0, 100],
+    ['submit', 803, 0, 100],
+    ['submit', 438, 0, 100],
+    ['rebirth', 789, 9, 100],
+    ['submit', 0, 0, 100],
+  ]);
+  expect(runDay(1, actions)).toEqual([]);
+});
--- a/test/control/fuzz/runDay.ts
+++ b/test/control/fuzz/runDay.ts
@@ -1,5 +1,6 @@
 import { createOffice, startVm } from '../world/createOffice.js';
 import { findBrokenRules } from '../world/findBrokenRules.js';
+import { findMisbilled } from '../world/findMisbilled.js';
 import { runFor } from '../world/runFor.js';
 import type { Office } from '../world/Office.js';
 import { showState } from '../world/showState.js';
@@ -54,6 +55,7 @@
   runFor(office, 3000);
   return [
     ...findBrokenRules(office),
+    ...findMisbilled(office),
     ...findFalseRefusals(office, day.sent),
     ...findUnfinished(office, day.sent),
     ...findUncaused(office, actions, day.cancelled),
--- a/test/control/office.test.ts
+++ b/test/control/office.test.ts
@@ -220,3 +220,15 @@
   runFor(office, 1500);
   expect(office.runs.map(({ workerId, kind }) => [workerId, kind])).toEqual([['w0', 'stopped']]);
 });
+
+// Guards against starts that workers refuse as late, because a suspended lead took the clock of an old
+// answer for the present one.
+test('a lead that wakes up starts work with its first order', () => {
+  const office = createOffice({ vms: 1, workers: 1 });
+  runFor(office, 3000);
+  office.vms[0]!.frozenUntil = office.now + 3000;
+  runFor(office, 3005);
+  submitJob(office, 'a');
+  runFor(office, 600);
+  expect(office.logs.filter(({ code }) => code === 'run_starting')).toHaveLength(1);
+});
--- a/test/platform/decodeStreamRecord.test.ts
+++ b/test/platform/decodeStreamRecord.test.ts
@@ -48,6 +48,7 @@
         failures: 1,
         workerId: 'w',
         checkpoint: 'c',
+        startedAt: 5,
       },
     ],
   };
