Show leads, jobs and invoices from the store alone

Cause: the daemon on the platform had no command line; the record of use could not be read.

Change: siskin-node check, status, job and invoice. The three reports are functions of the newest records of the streams, tested on the fake platform; an adapter reads the pages.

--- a/src/bin/siskin-node.ts
+++ b/src/bin/siskin-node.ts
@@ -2,22 +2,43 @@
 import { cac } from 'cac';
 import { formatSettingsError } from '../../platform/formatSettingsError.js';
 import { loadSettings } from '../../platform/loadSettings.js';
+import type { PlatformSettings } from '../../platform/PlatformSettings.js';
+import { runReport } from '../../platform/runReport.js';
 import { startNode } from '../../platform/startNode.js';
 
 const configErrorStatus = 6;
 
+const withSettings = (use: (settings: PlatformSettings) => void): void =>
+  loadSettings(process.env).match(use, (error) => {
+    process.stderr.write(`${formatSettingsError(error)}\n`);
+    process.exit(configErrorStatus);
+  });
+
+const storeOption = ['--store <address>', 'IP address and port of the store'] as const;
+
 const program = cac('siskin-node');
 program
   .command('', 'Start the daemon of this entry VM on the platform')
   .option('--metrics-port <port>', 'Port at which metrics are served', { default: 9464 })
-  .action(({ metricsPort }: { metricsPort: number }) => {
-    loadSettings(process.env).match(
-      (settings) => startNode(settings, metricsPort),
-      (error) => {
-        process.stderr.write(`${formatSettingsError(error)}\n`);
-        process.exit(configErrorStatus);
-      },
-    );
-  });
+  .action(({ metricsPort }: { metricsPort: number }) =>
+    withSettings((settings) => startNode(settings, metricsPort)),
+  );
+program
+  .command('check', 'Check the settings file and print what it means')
+  .action(() =>
+    withSettings((settings) => process.stdout.write(`${JSON.stringify(settings, null, 2)}\n`)),
+  );
+program
+  .command('status', 'Show who leads, the configuration, and counts of jobs and workers')
+  .option(...storeOption)
+  .action(({ store }: { store: string }) => runReport('status', store, ''));
+program
+  .command('job <id>', 'Show a job: its state, steps, and where its tasks run')
+  .option(...storeOption)
+  .action((id: string, { store }: { store: string }) => runReport('job', store, id));
+program
+  .command('invoice <period>', 'Show what workspaces used in a period, such as 2026-12')
+  .option(...storeOption)
+  .action((period: string, { store }: { store: string }) => runReport('invoice', store, period));
 program.help();
 program.parse();
--- /dev/null
+++ b/src/control/report/describeJob.ts
@@ -0,0 +1,52 @@
+import type { JobState } from '../jobs/JobState.js';
+import type { TaskProgress } from '../jobs/TaskProgress.js';
+import { listRecords } from './listRecords.js';
+import type { StoreContent } from './StoreContent.js';
+
+interface JobReport {
+  id: string;
+  state: JobState;
+  workspace: string;
+  queue: string;
+  /** Epoch milliseconds. */
+  acceptedAt: number;
+  cancelled: boolean;
+  steps: { tasks: number; gpu: number; gang: boolean; started: number; done: number }[];
+  /** Tasks that are started, with their workers. */
+  running: { step: number; index: number; run: number; workerId: string }[];
+  /** Runs that ended as failed, over all tasks. */
+  failures: number;
+}
+
+const countStep = (tasks: readonly TaskProgress[], step: number, state: TaskProgress['state']) =>
+  tasks.filter((task) => task.step === step && task.state === state).length;
+
+/** Describes a job as the store knows it; null if the store does not have it. */
+export const describeJob = (content: StoreContent, id: string): JobReport | null => {
+  const job = listRecords(content.journal, 'submission').find(
+    ({ submission }) => submission.id === id,
+  )?.submission;
+  if (!job) return null;
+  const status = listRecords(content.journal, 'status').find((record) => record.id === id);
+  const progress = listRecords(content.runs, 'progress').find((record) => record.id === id);
+  const tasks = progress?.progress.tasks ?? [];
+  return {
+    id,
+    state: status?.state ?? 'queued',
+    workspace: job.workspace,
+    queue: job.queue,
+    acceptedAt: job.acceptedAt,
+    cancelled: listRecords(content.journal, 'cancellation').some((record) => record.id === id),
+    steps: job.definition.steps.map(({ count, need, gang }, step) => ({
+      tasks: count,
+      gpu: need.gpu,
+      gang,
+      started: countStep(tasks, step, 'started'),
+      done: countStep(tasks, step, 'done'),
+    })),
+    running: tasks
+      .filter(({ state }) => state === 'started')
+      .map(({ step, index, run, workerId }) => ({ step, index, run, workerId })),
+    failures: tasks.reduce((sum, task) => sum + task.failures, 0),
+  };
+};
--- /dev/null
+++ b/src/control/report/describeStatus.ts
@@ -0,0 +1,39 @@
+import { countBy } from './countBy.js';
+import { listRecords } from './listRecords.js';
+import type { StoreContent } from './StoreContent.js';
+
+interface StatusReport {
+  lead: string;
+  token: number;
+  resigned: boolean;
+  configVersion: number | null;
+  queues: number;
+  workspaces: number;
+  jobs: Record<string, number>;
+  workers: Record<string, number>;
+}
+
+/** Describes who leads, the configuration in the store, and how many jobs and workers there are. */
+export const describeStatus = (content: StoreContent): StatusReport => {
+  const [lead] = listRecords(content.journal, 'lead');
+  const [config] = listRecords(content.config, 'config');
+  const states = new Map(
+    listRecords(content.journal, 'status').map(({ id, state }) => [id, state] as const),
+  );
+  const jobs = listRecords(content.journal, 'submission').map(
+    ({ submission }) => states.get(submission.id) ?? 'queued',
+  );
+  const workers = listRecords(content.workers, 'worker').flatMap(({ entry }) =>
+    entry ? [entry.state] : [],
+  );
+  return {
+    lead: lead?.vmId ?? '',
+    token: lead?.token ?? 0,
+    resigned: lead?.resigned ?? false,
+    configVersion: config?.config.version ?? null,
+    queues: config?.config.queues.length ?? 0,
+    workspaces: config?.config.workspaces.length ?? 0,
+    jobs: countBy(jobs),
+    workers: countBy(workers),
+  };
+};
--- a/test/control/world/serveStore.ts
+++ b/test/control/world/serveStore.ts
@@ -1,32 +1,25 @@
-import { decodeRecord } from '../../../src/adapters/journal/decodeRecord.js';
 import { encodeRecord } from '../../../src/adapters/journal/encodeRecord.js';
 import type { StreamEffect } from '../../../src/control/streams/StreamEffect.js';
 import type { StreamEvent } from '../../../src/control/streams/StreamEvent.js';
 import type { StreamName } from '../../../src/control/streams/StreamName.js';
-import type { StreamRecord } from '../../../src/control/streams/StreamRecord.js';
 import { after } from './after.js';
+import { decodeStored } from './decodeStored.js';
 import type { FakeVm } from './FakeVm.js';
 import type { Office } from './Office.js';
+import { readNewest } from './readNewest.js';
 
 const answerMs = 5;
 
 type Reply = (event: StreamEvent) => void;
 type EffectOf<T extends StreamEffect['type']> = Extract<StreamEffect, { type: T }>;
 
-const decodeAt = (office: Office, stream: StreamName, offset: number): StreamRecord => {
-  const stored = office.store.streams[stream][offset]!;
-  if (stored.decoded) return { ...(stored.decoded as StreamRecord), offset };
-  const decoded = decodeRecord(stored, stream as 'journal' | 'runs' | 'claims');
-  return decoded ? { ...decoded, offset } : { type: 'unreadable', key: stored.key, offset };
-};
-
 const readStream = (office: Office, effect: EffectOf<'readStream'>, reply: Reply): void => {
   const { stream, readId, from, waitMs } = effect;
   const records = office.store.streams[stream];
   const answer = (): void => {
     const next = records.length;
     const read = Array.from({ length: Math.max(0, next - from) }, (_, index) =>
-      decodeAt(office, stream, from + index),
+      decodeStored(office, stream, from + index),
     );
     reply({ type: 'streamRead', stream, readId, records: read, next, end: next });
   };
@@ -46,12 +39,9 @@
 
 const readPage = (office: Office, effect: EffectOf<'readPage'>, reply: Reply): void => {
   const { stream, readId } = effect;
-  const records = office.store.streams[stream];
-  const newest = new Map(records.map(({ key }, offset) => [key, offset]));
-  const read = [...newest.values()]
-    .filter((offset) => records[offset]!.value.length > 0 || records[offset]!.decoded)
-    .map((offset) => decodeAt(office, stream, offset));
-  reply({ type: 'pageRead', stream, readId, records: read, after: null, end: records.length });
+  const records = readNewest(office, stream);
+  const end = office.store.streams[stream].length;
+  reply({ type: 'pageRead', stream, readId, records, after: null, end });
 };
 
 /** Appends a record of the platform's own, such as a registry entry. */
