--- a/tools/soak/playSoak.ts
+++ b/tools/soak/playSoak.ts
@@ -83,6 +83,10 @@
 export const playSoak = async (options: SoakOptions): Promise<SoakReport> => {
   const { seed, playMs, nodes = 3, workers = 6 } = options;
   const soak = await startSoak({ seed, nodes, workers });
+  const stopAtSignal = (): void => {
+    stopSoak(soak).finally(() => process.exit(1));
+  };
+  process.once('SIGINT', stopAtSignal).once('SIGTERM', stopAtSignal);
   try {
     await waitMs(readyMs);
     const until = performance.now() + playMs;
@@ -91,6 +95,7 @@
     await waitSettled(soak);
     return buildReport(soak, seed, await findBrokenPromises(soak));
   } finally {
+    process.off('SIGINT', stopAtSignal).off('SIGTERM', stopAtSignal);
     await stopSoak(soak);
   }
 };
--- a/tools/soak/publishRecord.ts
+++ b/tools/soak/publishRecord.ts
@@ -1,7 +1,12 @@
 import { request } from 'undici';
 import { encodeLog } from '../../platform/encodeLog.js';
+import { waitMs } from '../office/waitMs.js';
 
-/** Appends a record of the operator or of a worker to the store. */
+const callTimeoutMs = 1000;
+const retryMs = 300;
+const doneStatus = 200;
+
+/** Appends a record of the operator or of a worker to the store, which may be away for a while. */
 export const publishRecord = async (
   storePort: number,
   topic: string,
@@ -10,6 +15,21 @@
 ): Promise<void> => {
   const bytes = value === null ? Buffer.alloc(0) : Buffer.from(JSON.stringify(value));
   const url = `http://127.0.0.1:${storePort}/-/log-append?topic=${topic}&part=0`;
-  const { body } = await request(url, { method: 'POST', body: encodeLog([{ key, value: bytes }]) });
-  await body.dump();
+  for (;;) {
+    try {
+      // eslint-disable-next-line no-await-in-loop -- each attempt follows the one before.
+      const { statusCode, body } = await request(url, {
+        method: 'POST',
+        body: encodeLog([{ key, value: bytes }]),
+        signal: AbortSignal.timeout(callTimeoutMs),
+      });
+      // eslint-disable-next-line no-await-in-loop -- frees the connection.
+      await body.dump();
+      if (statusCode === doneStatus) return;
+    } catch {
+      // No answer: the same record is appended again, which changes nothing.
+    }
+    // eslint-disable-next-line no-await-in-loop -- the pause between two attempts.
+    await waitMs(retryMs);
+  }
 };
