--- a/standins/task-worker/startTaskWorker.ts
+++ b/standins/task-worker/startTaskWorker.ts
@@ -10,6 +10,7 @@
 import { readClock } from '../shared/readClock.js';
 import { readFlags } from '../shared/readFlags.js';
 import { startServer } from '../shared/startServer.js';
+import { createTaskWorkerState } from './createTaskWorkerState.js';
 import { reduceTaskWorker } from './reduceTaskWorker.js';
 import type { TaskWorkerEvent } from './TaskWorkerEvent.js';
 import type { TaskWorkerState } from './TaskWorkerState.js';
@@ -30,25 +31,12 @@
 });
 const faultsSchema = z.strictObject({ failing: z.boolean() });
 
-const createState = (id: string, born: number): TaskWorkerState => ({
-  id,
-  born,
-  bootAt: readClock().at,
-  token: 0,
-  leaseUntil: 0,
-  runs: [],
-  lastEnd: 0,
-  over: new Map(),
-  holds: [],
-  failing: false,
-});
-
 /** Starts the worker with the given command line. */
 export const startTaskWorker = (argv: string[]): Server => {
   const flags = readFlags('task-worker', argv, { port: 0, id: 'w1', born: 0 });
   const exchanges = createExchanges();
   const push = createLoop<TaskWorkerState, TaskWorkerEvent, HttpEffect>(
-    createState(flags.id, flags.born),
+    createTaskWorkerState(flags.id, flags.born, readClock().at),
     reduceTaskWorker,
     (pushEvent) => createHttpRunners(exchanges, pushEvent),
   );
--- a/test/standins/taskWorker.test.ts
+++ b/test/standins/taskWorker.test.ts
@@ -1,20 +1,10 @@
 import { expect, test } from '@jest/globals';
+import { createTaskWorkerState } from '../../standins/task-worker/createTaskWorkerState.js';
 import { reduceTaskWorker } from '../../standins/task-worker/reduceTaskWorker.js';
 import type { TaskWorkerEvent } from '../../standins/task-worker/TaskWorkerEvent.js';
 import type { TaskWorkerState } from '../../standins/task-worker/TaskWorkerState.js';
 
-const createWorker = (): TaskWorkerState => ({
-  id: 'w',
-  born: 1,
-  bootAt: 0,
-  token: 0,
-  leaseUntil: 0,
-  runs: [],
-  lastEnd: 0,
-  over: new Map(),
-  holds: [],
-  failing: false,
-});
+const createWorker = (): TaskWorkerState => createTaskWorkerState('w', 1, 0);
 
 const start: Extract<TaskWorkerEvent, { type: 'startRequested' }> = {
   type: 'startRequested',
