--- a/test/control/office.test.ts
+++ b/test/control/office.test.ts
@@ -232,3 +232,18 @@
   runFor(office, 600);
   expect(office.logs.filter(({ code }) => code === 'run_starting')).toHaveLength(1);
 });
+
+// Guards against a claim that was decided before the new lead was heard of.
+test('each change of the lead takes one claim', () => {
+  const tokens = [1, 2, 3, 4, 5, 6].map((seed) => {
+    const office = createOffice({ vms: 3, workers: 1, seed });
+    runFor(office, 3000);
+    const former = findLead(office)!;
+    killVm(former);
+    runFor(office, 1400);
+    startVm(office, former);
+    runFor(office, 1500);
+    return findLead(office)!.state.term!.token;
+  });
+  expect(tokens).toEqual(Array(6).fill(2));
+});
--- a/test/control/world/FakeRun.ts
+++ b/test/control/world/FakeRun.ts
@@ -7,6 +7,8 @@
   /** When it will be done, if nothing ends it before. */
   dueAt: number;
   endedAt: number | null;
+  /** It was told to stop, and ends so at `dueAt`. */
+  stopping: boolean;
   kind: 'done' | 'failed' | 'stopped' | 'lapsed' | 'gone' | null;
   checkpoint: string;
   /** A lead has acknowledged its end. */
--- a/test/control/world/serveWorker.ts
+++ b/test/control/world/serveWorker.ts
@@ -9,6 +9,7 @@
 
 const wayMs = 1;
 const latestLateMs = 4000;
+const longestStopMs = 200;
 
 /** Run time of a task: the number in its spec. */
 const readRunMs = (spec: string): number => Number(spec);
@@ -24,16 +25,21 @@
   worker.ended.push({ number: worker.lastEnd, run });
 };
 
+const chooseKind = (worker: FakeWorker, run: FakeRun): FakeRun['kind'] => {
+  if (run.stopping) return 'stopped';
+  return worker.failing ? 'failed' : 'done';
+};
+
 /** Brings a worker up to the present: what is done has ended, and what lost its lease too. */
 export const settleWorker = (office: Office, worker: FakeWorker): void => {
   [...worker.running.values()].forEach((run) => {
     const lapsesAt = worker.leaseUntil + worker.bootAt;
     const endsAt = Math.min(run.dueAt, lapsesAt);
-    if (office.now < endsAt || (worker.hanging && endsAt !== lapsesAt)) return;
+    const hangs = worker.hanging && !run.stopping && endsAt !== lapsesAt;
+    if (office.now < endsAt || hangs) return;
     const { now } = office;
     office.now = endsAt;
-    const kind = worker.failing ? 'failed' : 'done';
-    endRun(office, worker, run, lapsesAt < run.dueAt ? 'lapsed' : kind);
+    endRun(office, worker, run, lapsesAt < run.dueAt ? 'lapsed' : chooseKind(worker, run));
     office.now = now;
   });
 };
@@ -56,6 +62,7 @@
     startedAt: office.now,
     dueAt: office.now + readRunMs(call.spec) / worker.speed,
     endedAt: null,
+    stopping: false,
     kind: null,
     checkpoint: call.checkpoint,
     noted: false,
@@ -73,7 +80,12 @@
 ): WorkerAnswer => {
   const run = worker.running.get(call.task);
   worker.over.set(call.task, Math.max(call.run, worker.over.get(call.task) ?? 0));
-  if (run && run.run <= call.run) endRun(office, worker, run, 'stopped');
+  if (run && run.run <= call.run && !run.stopping) {
+    run.stopping = true;
+    const stopMs = office.random() * longestStopMs;
+    run.dueAt = Math.min(run.dueAt, office.now + stopMs);
+    after(office, stopMs, () => settleWorker(office, worker));
+  }
   return { type: 'done', clock: readClock(office, worker) };
 };
 
