--- a/src/bin/siskin-node.ts
+++ b/src/bin/siskin-node.ts
@@ -3,18 +3,28 @@
 import { formatSettingsError } from '../../platform/formatSettingsError.js';
 import { loadSettings } from '../../platform/loadSettings.js';
 import type { PlatformSettings } from '../../platform/PlatformSettings.js';
+import type { ReportName } from '../../platform/ReportName.js';
 import { runReport } from '../../platform/runReport.js';
 import { startNode } from '../../platform/startNode.js';
 
 const configErrorStatus = 6;
 
-const withSettings = (use: (settings: PlatformSettings) => void): void =>
+const withSettings = (use: (settings: PlatformSettings) => unknown): unknown =>
   loadSettings(process.env).match(use, (error) => {
     process.stderr.write(`${formatSettingsError(error)}\n`);
     process.exit(configErrorStatus);
   });
 
-const storeOption = ['--store <address>', 'IP address and port of the store'] as const;
+const storeOption = [
+  '--store <address>',
+  'IP address and port of the store (default: that of the settings file)',
+] as const;
+
+/** Prints a report from the given store, or from that of this VM's settings. */
+const printReport = (name: ReportName, store: string | undefined, argument: string): unknown =>
+  store === undefined
+    ? withSettings((settings) => runReport(name, settings.store, argument))
+    : runReport(name, store, argument);
 
 const program = cac('siskin-node');
 program
@@ -31,14 +41,14 @@
 program
   .command('status', 'Show who leads, the configuration, and counts of jobs and workers')
   .option(...storeOption)
-  .action(({ store }: { store: string }) => runReport('status', store, ''));
+  .action(({ store }: { store?: string }) => printReport('status', store, ''));
 program
   .command('job <id>', 'Show a job: its state, steps, and where its tasks run')
   .option(...storeOption)
-  .action((id: string, { store }: { store: string }) => runReport('job', store, id));
+  .action((id: string, { store }: { store?: string }) => printReport('job', store, id));
 program
   .command('invoice <period>', 'Show what workspaces used in a period, such as 2026-12')
   .option(...storeOption)
-  .action((period: string, { store }: { store: string }) => runReport('invoice', store, period));
+  .action((period: string, { store }: { store?: string }) => printReport('invoice', store, period));
 program.help();
 program.parse();
