Start a gang only after its peers have the copy of the start

Cause: a scheduler sent its copy of a gang's start and the start calls together. Ruled out: a loss of the records themselves; the successor had no copy that said 'starting'. Change: start calls wait until every scheduler that could succeed has acknowledged the copy, as keyed requests do already. A gang whose copy is not acknowledged is stopped by its deadline. After: the scenario is a regression case in foundFaults.test.ts, and a test of the reducer guards the order.

--- a/src/core/jobs/JobsState.ts
+++ b/src/core/jobs/JobsState.ts
@@ -34,6 +34,8 @@
   /** Moving average of run times by workspace and shape, in milliseconds. */
   observedMs: Map<string, number>;
   faultsByWorker: Map<string, WorkerFaults>;
+  /** Sequence of the copy that must reach the peers before a gang's parts are started, by job id. */
+  startWaits: Map<string, number>;
   /** Submissions that are not answered yet. */
   submissionWaits: SubmissionWait[];
   /** Whether the queue or the free capacity changed since the latest placement pass. */
--- a/src/core/jobs/createJobsState.ts
+++ b/src/core/jobs/createJobsState.ts
@@ -17,6 +17,7 @@
   reservation: null,
   observedMs: new Map(),
   faultsByWorker: new Map(),
+  startWaits: new Map(),
   submissionWaits: [],
   placementDue: false,
   placedAt: -Infinity,
--- a/src/core/jobs/handleTick.ts
+++ b/src/core/jobs/handleTick.ts
@@ -6,6 +6,7 @@
 import { handleJobDeadline } from './handleJobDeadline.js';
 import { isDecider } from './isDecider.js';
 import { isJobEnded } from './isJobEnded.js';
+import { startCopiedGangs } from './startCopiedGangs.js';
 import { takeDueJobs } from './takeDueJobs.js';
 
 // Slots freed by short requests are noticed by a placement pass at this interval.
@@ -30,6 +31,7 @@
   });
   return [
     ...due,
+    ...startCopiedGangs(state, event.at),
     ...answerSubmissions(state, event.at),
     { type: 'gauge', name: 'queued_jobs', value: jobs.queue.length },
     { type: 'gauge', name: 'running_jobs', value: jobs.activeJobs.size },
--- a/src/core/jobs/retryCall.ts
+++ b/src/core/jobs/retryCall.ts
@@ -27,5 +27,6 @@
 export const retryCall = (state: State, job: Job, part: JobPart, at: number): Effect[] => {
   const repeat = repeats[job.state];
   if (!repeat?.when.includes(part.state) || isPartEnded(part, at)) return [];
+  if (repeat.kind === 'startTask' && state.jobs.startWaits.has(job.id)) return [];
   return callPart(state, job, part, repeat.kind, at);
 };
--- a/src/core/jobs/startParts.ts
+++ b/src/core/jobs/startParts.ts
@@ -3,14 +3,15 @@
 import { sendCopies } from '../replication/sendCopies.js';
 import type { State } from '../State.js';
 import { addDeadline } from './addDeadline.js';
-import { callPart } from './callPart.js';
 import type { EventTime } from './EventTime.js';
 import type { Job } from './Job.js';
 import { setJobState } from './setJobState.js';
+import { startCopiedGangs } from './startCopiedGangs.js';
 
 /**
- * Starts the prepared parts of a gang, if this scheduler may act on the workers of all parts;
- * otherwise the gang's deadline stops it. Cost: O(parts of the job).
+ * Has the prepared parts of a gang started as soon as the peers have a copy that says so, if this
+ * scheduler may act on the workers of all parts; otherwise the gang's deadline stops it.
+ * Cost: O(parts of the job).
  */
 export const startParts = (state: State, job: Job, { at, wall }: EventTime): Effect[] => {
   if (!job.parts.every((part) => isHeld(state, part.workerId, at))) return [];
@@ -22,9 +23,8 @@
     part.startSentWall = wall;
   });
   state.replication.changedJobs.add(job.id);
-  // The copy leaves before the calls, so that a successor knows that the parts may have run.
-  return [
-    ...sendCopies(state, at),
-    ...prepared.flatMap((part) => callPart(state, job, part, 'startTask', at)),
-  ];
+  // A part that runs for a moment only is recorded by a successor if a peer's copy names its start.
+  const copies = sendCopies(state, at);
+  state.jobs.startWaits.set(job.id, state.replication.sequence);
+  return [...copies, ...startCopiedGangs(state, at)];
 };
--- a/test/core/jobs/gang.test.ts
+++ b/test/core/jobs/gang.test.ts
@@ -23,6 +23,20 @@
   expect(listCalls(started)).toEqual(['startTask j.1.0 w0', 'startTask j.1.1 w1']);
 });
 
+// Guards against a start that nobody records when the lead dies right after it.
+test('parts start after the peers have the copy', () => {
+  const state = createPair();
+  const peer = { node: 'vm-2/scheduler', zone: 'z', linked: true, lastHeardAt: 0 } as const;
+  state.membership.peers.set(peer.node, peer);
+  const ready = answer(state, 0, submit(state, 0, 'j', 'a', wide));
+  expect(listCalls(ready)).toEqual([]);
+  const { sequence } = state.replication;
+  const early = { type: 'replicateAck', from: peer.node, sequence: sequence - 1 } as const;
+  expect(listCalls(send(state, 5, early))).toEqual([]);
+  const started = send(state, 10, { ...early, sequence });
+  expect(listCalls(started)).toEqual(['startTask j.1.0 w0', 'startTask j.1.1 w1']);
+});
+
 // Guards against a job that ends with its first part, and against use that is never freed.
 test('finishes with its last part', () => {
   const state = createPair();
--- a/test/fuzz/foundFaults.test.ts
+++ b/test/fuzz/foundFaults.test.ts
@@ -142,6 +142,17 @@
       { type: 'workerRestarts', worker: 0, forMs: 300 },
     ],
   ],
+  [
+    'start that no copy knows',
+    'record',
+    404_885,
+    [
+      { type: 'submitJob', gateway: 0, tasks: 3, runMs: 60_000, preemptible: false },
+      { type: 'advance', ms: 40 },
+      { type: 'kill', node: 1, forMs: 300 },
+      { type: 'workerRestarts', worker: 0, forMs: 300 },
+    ],
+  ],
 ];
 
 // Guards against the return of faults that the fuzzer found.
