Put a changed settings file in force while the daemon runs

Cause: the platform changes the settings file with SIGHUP or without any signal; the daemon read it at its start only and logged the signal. Ruled out: a restart of the process, which would cut requests; a watch by inotify, which is not to be had there. Change: the file is read at SIGHUP and every 2 s and parsed only when its text differs. Bounds, cores and the store's address are put in force, a bound on leases only if it is longer; what needs a restart is named in the log; a file that cannot be used is logged once and changes nothing. Tests: settings in the reducer, the watch, and the daemon as a process.

--- a/src/control/Event.ts
+++ b/src/control/Event.ts
@@ -1,4 +1,5 @@
 import type { CallerEvent } from './callers/CallerEvent.js';
+import type { NodeSettings } from './settings/NodeSettings.js';
 import type { StreamEvent } from './streams/StreamEvent.js';
 import type { WorkerEvent } from './workers/WorkerEvent.js';
 
@@ -9,6 +10,7 @@
   | WorkerEvent
   | { type: 'started' }
   | { type: 'tick' }
+  | { type: 'settingsChanged'; settings: NodeSettings }
   | { type: 'shutdownRequested' }
 ) & {
   /** Monotonic milliseconds when the event was taken from the queue, not when it arrived. */
--- a/src/control/featureTables.ts
+++ b/src/control/featureTables.ts
@@ -3,12 +3,14 @@
 import { electionHandlers } from './lead/electionHandlers.js';
 import { leadHandlers } from './lead/leadHandlers.js';
 import { progressHandlers } from './progress/progressHandlers.js';
+import { settingsHandlers } from './settings/settingsHandlers.js';
 import { shutdownHandlers } from './shutdown/shutdownHandlers.js';
 import { streamsHandlers } from './streams/streamsHandlers.js';
 import { workersHandlers } from './workers/workersHandlers.js';
 
 /** Handler tables of all features, in the order in which they see an event. */
 export const featureTables: readonly HandlerTable[] = [
+  settingsHandlers,
   streamsHandlers,
   shutdownHandlers,
   progressHandlers,
--- /dev/null
+++ b/test/e2e/nodeSettings.test.ts
@@ -0,0 +1,60 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterAll, beforeAll, expect, test } from '@jest/globals';
+import { findFreePorts } from '../../tools/office/findFreePorts.js';
+import type { ManagedProcess } from '../../tools/office/ManagedProcess.js';
+import { startProcess } from '../../tools/office/startProcess.js';
+import { stopProcess } from '../../tools/office/stopProcess.js';
+import { waitMs } from '../../tools/office/waitMs.js';
+import { formatSettings } from '../../tools/soak/formatSettings.js';
+
+const waitForMs = 8000;
+const folder = mkdtempSync(join(tmpdir(), 'node-settings-'));
+const settingsFile = join(folder, 'settings.toml');
+
+let node: ManagedProcess;
+let settings: string;
+
+const waitForLine = async (code: string): Promise<string> => {
+  const until = performance.now() + waitForMs;
+  while (performance.now() < until) {
+    const line = node.lines.findLast((text) => text.includes(`"code":"${code}"`));
+    if (line !== undefined) return line;
+    // eslint-disable-next-line no-await-in-loop -- the pause before the next look.
+    await waitMs(50);
+  }
+  return '';
+};
+
+beforeAll(async () => {
+  const [frontPort, readinessPort, storePort, metricsPort] = await findFreePorts(4);
+  settings = formatSettings({
+    id: 'vm-1',
+    frontPort: frontPort!,
+    readinessPort: readinessPort!,
+    storePort: storePort!,
+  });
+  writeFileSync(settingsFile, settings);
+  const env = { SISKINHOLLOW_BOOT: settingsFile };
+  node = startProcess('vm-1', 'target/siskin-node.cjs', ['--metrics-port', `${metricsPort}`], env);
+  await waitForLine('daemon_started');
+}, 20_000);
+
+afterAll(async () => {
+  await stopProcess(node, 'SIGTERM', 7000);
+  rmSync(folder, { recursive: true });
+}, 20_000);
+
+// Guards against a signal that ends the daemon, or that changes nothing.
+test('SIGHUP puts a changed file in force', async () => {
+  writeFileSync(settingsFile, settings.replace('status_s = 120', 'status_s = 60'));
+  node.signal('SIGHUP');
+  expect(await waitForLine('settings_applied')).toContain('"statusKeepMs":60000');
+}, 20_000);
+
+// Guards against a daemon that waits for a signal which the platform need not send.
+test('a bad file is reported without a signal', async () => {
+  writeFileSync(settingsFile, 'node_id = ');
+  expect(await waitForLine('settings_invalid')).toContain('"reason"');
+}, 20_000);
--- /dev/null
+++ b/test/platform/createSettingsWatch.test.ts
@@ -0,0 +1,84 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterEach, beforeEach, expect, test } from '@jest/globals';
+import { createSettingsWatch } from '../../platform/createSettingsWatch.js';
+import { loadSettings } from '../../platform/loadSettings.js';
+
+const text = `
+node_id = "vm-1"
+zone = "z"
+ip = "10.0.0.1"
+[listen]
+frontend = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+[limits]
+cpu_share = 0.5
+cpu_cores = 2
+[platform]
+address = "10.9.0.1:90"
+[bounds]
+max_hold_ms = 6000
+status_s = 120
+grace_s = 6
+`;
+
+let folder = '';
+let env: Record<string, string> = {};
+
+const write = (content: string): void => writeFileSync(env.SISKINHOLLOW_BOOT!, content);
+
+beforeEach(() => {
+  folder = mkdtempSync(join(tmpdir(), 'settings-'));
+  env = { SISKINHOLLOW_BOOT: join(folder, 'settings.toml') };
+  write(text);
+});
+
+afterEach(() => rmSync(folder, { recursive: true }));
+
+const startWatch = () => {
+  const seen: string[] = [];
+  const initial = loadSettings(env).match(
+    (settings) => settings,
+    ({ kind }) => {
+      throw new Error(kind);
+    },
+  );
+  const check = createSettingsWatch(env, initial, {
+    change: (settings) => seen.push(`${settings.store} ${settings.bounds.graceMs}`),
+    error: (error) => seen.push(error.kind),
+  });
+  return { seen, check };
+};
+
+// Guards against a change that is never seen, and against one that is put in force again and again.
+test('tells of a change once', () => {
+  const { seen, check } = startWatch();
+  check();
+  write(text.replace('grace_s = 6', 'grace_s = 3').replace('10.9.0.1', '10.9.0.2'));
+  check();
+  check();
+  expect(seen).toEqual(['10.9.0.2:90 3000']);
+});
+
+// Guards against a daemon that reacts to fields which it does not use.
+test('other fields are no change', () => {
+  const { seen, check } = startWatch();
+  write(`other = 1\n${text}`);
+  check();
+  expect(seen).toEqual([]);
+});
+
+// Guards against a half-written file that ends the daemon, or fills the log at each check.
+test('tells of a bad file once', () => {
+  const { seen, check } = startWatch();
+  write(text.slice(0, -12));
+  check();
+  check();
+  rmSync(env.SISKINHOLLOW_BOOT!);
+  check();
+  check();
+  write(text);
+  check();
+  expect(seen).toEqual(['invalid', 'unreadable']);
+});
