--- a/src/control/runs/applyEnd.ts
+++ b/src/control/runs/applyEnd.ts
@@ -31,8 +31,9 @@
     noteUsage(term, task, 'listed', seen, now);
     return endHandlers[end.kind](term, worker, task, now);
   }
-  // An earlier run that was given up for lost did finish: its result counts.
+  // An earlier run that was given up for lost did finish: its result counts, but a task that lasts
+  // has no result.
   const place = end.kind === 'done' ? findTask(term, end.task) : null;
-  if (!place || place.task.run < end.run) return [];
+  if (!place || place.step.step.longRunning || place.task.run < end.run) return [];
   return noteDone(term, worker, place.task, now);
 };
--- a/test/control/fuzz/foundFaults.test.ts
+++ b/test/control/fuzz/foundFaults.test.ts
@@ -69,3 +69,35 @@
   ]);
   expect(runDay(1, actions)).toEqual([]);
 });
+
+// Seed 203, run 22. A worker came back from behind a cut and listed the end of a run that had been
+// given up; a task that lasts was then started again beside its present run.
+test('an old end of a task that lasts changes nothing', () => {
+  const actions = buildActions([
+    ['submitLasting', 0, 0, 100],
+    ['cutWorkerOff', 347, 1, 2989],
+    ['submit', 0, 0, 135],
+    ['submit', 0, 0, 100],
+    ['submit', 0, 0, 100],
+  ]);
+  expect(runDay(1, actions)).toEqual([]);
+});
+
+// Seed 212, run 491. A suspended lead took over an old answer and asked again at once; the run had ended
+// in between, and the time of the suspension was billed.
+test('an old answer is no sighting of the moment', () => {
+  const actions = buildActions([
+    ['submit', 0, 0, 3073],
+    ['storeDown', 753, 0, 3118],
+    ['submit', 358, 0, 100],
+    ['submit', 10, 0, 100],
+    ['submit', 1191, 0, 100],
+    ['freeze', 53, 0, 4019],
+    ['submit', 13, 1, 100],
+    ['submit', 2, 1, 100],
+    ['submit', 804, 0, 100],
+    ['submit', 0, 0, 100],
+    ['submit', 0, 0, 100],
+  ]);
+  expect(runDay(165_266, actions)).toEqual([]);
+});
--- /dev/null
+++ b/test/control/world/findStep.ts
@@ -0,0 +1,21 @@
+import type { Step } from '../../../src/control/jobs/Step.js';
+import type { Submission } from '../../../src/control/jobs/Submission.js';
+import type { Office } from './Office.js';
+
+interface TaskOrigin {
+  submission: Submission;
+  occurrence: number;
+  stepIndex: number;
+  step: Step;
+}
+
+/** Finds what a caller sent for a task, by the task's name; null for a task that nobody sent. */
+export const findStep = (office: Office, task: string): TaskOrigin | null => {
+  const [id = '', occurrence, stepIndex] = task.split('.');
+  const submission = office.vms
+    .map(({ state }) => state.jobs.get(id)?.submission)
+    .find((known) => known);
+  const step = submission?.definition.steps[Number(stepIndex)];
+  if (!submission || !step) return null;
+  return { submission, occurrence: Number(occurrence), stepIndex: Number(stepIndex), step };
+};
