Bill a restarted worker's runs up to its last listing only

Ruled out: a run in the new life; its first listing shows none. Change: the use of such a run is noted at the rebirth, as unknown since the last listing of the former life.

--- a/src/control/workers/Worker.ts
+++ b/src/control/workers/Worker.ts
@@ -20,8 +20,10 @@
   clock: { value: number; at: number } | null;
   /** Latest lease end that it may have been given, in its clock's time. */
   leaseUntil: number;
-  /** Monotonic time of its last listing. */
+  /** Monotonic time at which it gave its last listing. */
   lastListedAt: number;
+  /** Monotonic time at which that was taken over; later, if this VM was suspended in between. */
+  lastAnswerAt: number;
   /** Monotonic time at which the open look was sent, or null. */
   holdSentAt: number | null;
   /** Monotonic time of the next look. */
--- a/src/control/workers/applyListing.ts
+++ b/src/control/workers/applyListing.ts
@@ -103,8 +103,8 @@
   if (listing.born < worker.born) return effects;
   worker.born = listing.born;
   const seen = computeSighting(worker, listing.clock, sentAt, now);
-  // Later looks are measured from the moment of the answer, also if a suspension delayed it.
   worker.lastListedAt = seen.at;
+  worker.lastAnswerAt = now.at;
   // Whoever renewed before, no lease lasts longer than this.
   if (!worker.clock) worker.leaseUntil = Math.max(worker.leaseUntil, listing.clock + maxLeaseMs);
   worker.clock = { value: Math.max(listing.clock, getEarliestClock(worker, now)), at: now.at };
--- a/src/control/workers/noteRebirth.ts
+++ b/src/control/workers/noteRebirth.ts
@@ -5,6 +5,7 @@
 import { requeueTask } from '../runs/requeueTask.js';
 import { sendStop } from '../runs/sendStop.js';
 import { stopTask } from '../runs/stopTask.js';
+import { noteUsage } from '../usage/noteUsage.js';
 import { createSlowness } from './createSlowness.js';
 import type { ListedRun } from './ListedRun.js';
 import type { Worker } from './Worker.js';
@@ -16,6 +17,12 @@
   sentAt: number;
 }
 
+/** The former life's run is over, also where its stop is still to be answered by the new one. */
+const noteLostUse = (term: Term, worker: Worker, task: Task, now: Now): void => {
+  if (task.state !== 'stopping' || task.seenAt === null) return;
+  noteUsage(term, task, 'unknown', { at: now.at, unseenMs: now.at - worker.lastListedAt }, now);
+};
+
 const settleTask = (
   term: Term,
   worker: Worker,
@@ -25,6 +32,7 @@
 ): Effect[] => {
   const { running, sentAt } = listing;
   if (running.some((run) => run.task === task.name && run.run === task.run)) return [];
+  noteLostUse(term, worker, task, now);
   if (task.state === 'recording') return [];
   // A start that is under way may reach the new life; only a stop rules it out.
   if (task.state === 'starting') return stopTask(term, task, 'start-unanswered', now);
--- a/test/control/fuzz/FaultAction.ts
+++ b/test/control/fuzz/FaultAction.ts
@@ -10,6 +10,7 @@
     | 'submitLabelled'
     | 'submitLasting'
     | 'cancel'
+    | 'changeConfig'
     | 'kill'
     | 'freeze'
     | 'terminate'
--- a/test/control/fuzz/applyAction.ts
+++ b/test/control/fuzz/applyAction.ts
@@ -4,6 +4,7 @@
 import type { FakeVm } from '../world/FakeVm.js';
 import type { FakeWorker } from '../world/FakeWorker.js';
 import type { Office } from '../world/Office.js';
+import { publishConfig } from '../world/publishConfig.js';
 import { submitJob } from '../world/submitJob.js';
 import type { FaultAction } from './FaultAction.js';
 
@@ -103,6 +104,7 @@
     submitJob(day.office, id, { vm, operation: 'cancel' });
     day.cancelled.add(id);
   },
+  changeConfig: ({ office }) => publishConfig(office, office.store.streams.config.length + 1),
   kill: restartVm,
   freeze: (day, action) => {
     getVm(day, action).frozenUntil = day.office.now + action.lastsMs;
--- a/test/control/fuzz/dayArbitrary.ts
+++ b/test/control/fuzz/dayArbitrary.ts
@@ -15,6 +15,7 @@
 const kinds: FaultAction['kind'][] = [
   ...submissions,
   'cancel',
+  'changeConfig',
   'kill',
   'freeze',
   'terminate',
--- a/test/control/fuzz/foundFaults.test.ts
+++ b/test/control/fuzz/foundFaults.test.ts
@@ -101,3 +101,16 @@
   ]);
   expect(runDay(165_266, actions)).toEqual([]);
 });
+
+// Seed 237, run 193. A run's worker restarted while the stop of the run had no answer; the time until
+// the new life had answered the stop was billed.
+test('a new life of a worker is not billed for the former one', () => {
+  const actions = buildActions([
+    ['submitApart', 0, 3, 100],
+    ['ordersLate', 0, 0, 100],
+    ['rebirth', 32, 0, 100],
+    ['crashWorker', 313, 1, 100],
+    ['cancel', 0, 0, 100],
+  ]);
+  expect(runDay(1, actions)).toEqual([]);
+});
--- a/test/control/fuzz/runDay.ts
+++ b/test/control/fuzz/runDay.ts
@@ -78,6 +78,11 @@
     return state === 'failed' && !failures ? [`job ${short} failed without a cause`] : [];
   });
 
+const findOldConfig = ({ vms, store }: Office): string[] =>
+  vms
+    .filter(({ state }) => state.config?.version !== store.streams.config.length)
+    .map(({ id, state }) => `${id} has version ${state.config?.version} in force`);
+
 /** Plays a random day on virtual time; returns what broke a promise. */
 export const runDay = (seed: number, actions: readonly FaultAction[]): string[] => {
   const office = createOffice({ vms: 3, workers: 6, seed });
@@ -91,6 +96,8 @@
   office.vms.filter(({ up }) => !up).forEach((vm) => startVm(office, vm));
   runFor(office, 3000);
   return [
+    ...office.violations,
+    ...findOldConfig(office),
     ...findBrokenRules(office),
     ...findBrokenJobs(office),
     ...findMisbilled(office),
--- a/test/control/world/Office.ts
+++ b/test/control/world/Office.ts
@@ -18,6 +18,8 @@
   logs: { at: number; vmId: string; code: string; fields: Record<string, unknown> }[];
   queue: { at: number; order: number; action: () => void }[];
   order: number;
+  /** What a VM did against its promises, noted when it happened. */
+  violations: string[];
   /** Longest lease that workers grant. */
   maxLeaseMs: number;
   /** Share of orders to workers that are not answered and carried out seconds later. */
--- a/test/control/world/createOffice.ts
+++ b/test/control/world/createOffice.ts
@@ -7,6 +7,7 @@
 import { epochWall } from './epochWall.js';
 import { createRandom } from '../../fuzz/world/createRandom.js';
 import type { Office } from './Office.js';
+import { publishConfig } from './publishConfig.js';
 import { serveStore, storeRecord } from './serveStore.js';
 import { serveWorker, settleWorker } from './serveWorker.js';
 
@@ -21,21 +22,14 @@
   heartbeatMs: 1500,
 };
 
-const config = {
-  version: 1,
-  queues: [
-    { name: 'urgent', prefix: '/u/', priority: 0, targetMs: 250, stretch: 1.5 },
-    { name: 'batch', prefix: '/b/', priority: 1, targetMs: 1000, stretch: 3 },
-  ].map((queue) => ({ ...queue, host: 'h', service: 'svc', maxAttempts: 3, open: false })),
-  workspaces: [{ name: 'ws', keys: ['key'], guaranteedGpu: 16 }],
-};
-
 const runEffect = (office: Office, vm: FakeVm, effect: Effect): void => {
   if (effect.type === 'readStream' || effect.type === 'readPage' || effect.type === 'append') {
     serveStore(office, vm, effect);
   } else if (effect.type === 'callWorker') serveWorker(office, vm, effect);
   else if (effect.type === 'answerCaller') office.answers.set(effect.requestId, effect.answer);
   else if (effect.type === 'exit') {
+    const open = vm.state.callers.open.size;
+    if (open > 0) office.violations.push(`${vm.id} left with ${open} requests open`);
     vm.up = false;
     vm.life += 1;
   } else if (effect.type === 'log') {
@@ -50,7 +44,10 @@
     return;
   }
   const timed = { ...event, at: office.now, wall: epochWall + office.now };
+  const before = vm.state.config?.version ?? 0;
   reduce(vm.state, timed).forEach((effect) => office.runEffect(vm, effect));
+  const version = vm.state.config?.version ?? 0;
+  if (version < before) office.violations.push(`${vm.id} goes back from ${before} to ${version}`);
 };
 
 /** Starts, or starts anew, the daemon of a VM. */
@@ -171,17 +168,14 @@
     logs: [],
     queue: [],
     order: 0,
+    violations: [],
     maxLeaseMs,
     lateShare: 0,
     random: createRandom(options.seed ?? 1),
     runEffect: (vm, effect) => runEffect(office, vm, effect),
     push: (vm, event) => push(office, vm, event),
   };
-  storeRecord(office, 'config', {
-    key: 'config',
-    value: Buffer.alloc(0),
-    decoded: { type: 'config', config },
-  });
+  publishConfig(office, 1);
   for (let number = 0; number < options.workers; number += 1) startWorker(office, `w${number}`);
   for (let number = 0; number < options.vms; number += 1) {
     const vm: FakeVm = {
