--- a/src/control/callers/CallerEvent.ts
+++ b/src/control/callers/CallerEvent.ts
@@ -1,5 +1,7 @@
 import type { CallerRequest } from './CallerRequest.js';
 
 /** What callers do. */
-export type CallerEvent =
-  { type: 'callerRequested'; request: CallerRequest } | { type: 'callerGone'; requestId: number };
+export interface CallerEvent {
+  type: 'callerRequested';
+  request: CallerRequest;
+}
--- a/src/control/callers/callersHandlers.ts
+++ b/src/control/callers/callersHandlers.ts
@@ -47,10 +47,6 @@
 /** Serves callers. */
 export const callersHandlers: HandlerTable = {
   callerRequested: (state, event) => handleRequest(state, event.request, event),
-  callerGone: (state, event) => {
-    state.callers.open.delete(event.requestId);
-    return [];
-  },
   appended: (state, event) => {
     const append = state.callers.appends.get(event.appendId);
     return append ? finishCallerAppend(state, append, event.offset, event) : [];
--- a/src/control/callers/handleCancel.ts
+++ b/src/control/callers/handleCancel.ts
@@ -1,17 +1,13 @@
-import { isFollowing } from '../streams/isFollowing.js';
 import { answerCaller } from './answerCaller.js';
 import { appendForCaller } from './appendForCaller.js';
 import type { OperationHandler } from './OperationHandler.js';
-import { refuseCaller } from './refuseCaller.js';
+import { refuseUnknownJob } from './refuseUnknownJob.js';
 
 /** Cancels a job: answered when the journal has the cancellation. */
 export const handleCancel: OperationHandler = (state, request, target, now) => {
   const job = state.jobs.get(target.id);
   if (job?.cancelled) return answerCaller(state, request.requestId, { type: 'accepted' });
-  if (!job?.submission) {
-    const reason = isFollowing(state, 'journal', now) ? 'no-such-job' : 'store-behind';
-    return refuseCaller(state, request, reason, now.at);
-  }
+  if (!job?.submission) return refuseUnknownJob(state, request, now);
   const record = { type: 'cancellation', id: target.id, at: now.wall } as const;
   return appendForCaller(state, request, target.id, record, now);
 };
--- a/src/control/lead/electionHandlers.ts
+++ b/src/control/lead/electionHandlers.ts
@@ -40,9 +40,11 @@
   state.streams.journal.failures === 0;
 
 const readClaims = (state: State): Effect[] => {
+  const { election } = state;
   state.lastCallId += 1;
-  const { lastToken } = state.election;
-  state.election = { phase: 'reading', callId: state.lastCallId, waitUntil: 0, lastToken };
+  election.phase = 'reading';
+  election.callId = state.lastCallId;
+  election.waitUntil = 0;
   return [
     {
       type: 'readPage',
@@ -55,8 +57,10 @@
 };
 
 const stopElection = (state: State, now: Now, pauseMs: number): Effect[] => {
-  const { lastToken } = state.election;
-  state.election = { phase: 'idle', callId: 0, waitUntil: now.at + pauseMs, lastToken };
+  const { election } = state;
+  election.phase = 'idle';
+  election.callId = 0;
+  election.waitUntil = now.at + pauseMs;
   return [];
 };
 
--- a/src/control/placement/placeWaiting.ts
+++ b/src/control/placement/placeWaiting.ts
@@ -57,8 +57,9 @@
   const guaranteed = listGuaranteed(state, term);
   const pass = openPass(state, term, now);
   return collectUnits(term, guaranteed, now).flatMap((unit) => {
-    const workers = listCandidates(pass, unit);
     const tooWide = unit.step.step.need.gpu > pass.mostFreeGpu;
+    if (tooWide && !unit.guaranteed && unit.step.waitLogged) return [];
+    const workers = listCandidates(pass, unit);
     if (!tooWide || unit.guaranteed) {
       reserveStart(term, pass, unit, choose(pass, unit, workers, now), now);
     }
--- a/src/control/usage/applyUsage.ts
+++ b/src/control/usage/applyUsage.ts
@@ -6,7 +6,7 @@
 /** Takes over a total that a former lead wrote. */
 export const applyUsage = (state: State, { total, offset }: RecordOf<'usage'>): Effect[] => {
   const { term } = state;
-  if (!term || (term.phase !== 'reading' && term.phase !== 'fencing')) return [];
+  if (!term) return [];
   const key = buildUsageKey(total);
   const known = term.former.usageOffsets.get(key) ?? -1;
   if (offset <= known) return [];
--- a/tools/day/buildDayReport.ts
+++ b/tools/day/buildDayReport.ts
@@ -1,3 +1,4 @@
+import { countBy } from '../../src/control/report/countBy.js';
 import type { JobTrace } from './JobTrace.js';
 
 interface QueueReport {
@@ -43,15 +44,6 @@
   return lost;
 };
 
-const countOutcomes = (jobs: readonly JobTrace[]): Record<string, number> => {
-  const outcomes: Record<string, number> = {};
-  jobs.forEach(({ outcome }) => {
-    const name = outcome ?? 'open';
-    outcomes[name] = (outcomes[name] ?? 0) + 1;
-  });
-  return outcomes;
-};
-
 /** Splits a day by queue: who waits and for how long, and what work was lost to which cause. */
 export const buildDayReport = (traces: readonly JobTrace[]): QueueReport[] => {
   const queues = [...new Set(traces.map(({ queue }) => queue ?? unknownQueue))].sort();
@@ -60,7 +52,7 @@
     return {
       queue,
       jobs: jobs.length,
-      outcomes: countOutcomes(jobs),
+      outcomes: countBy(jobs.map(({ outcome }) => outcome ?? 'open')),
       waited: {
         guaranteed: jobs.filter(({ waitedGuaranteed }) => waitedGuaranteed === true).length,
         others: jobs.filter(({ waitedGuaranteed }) => waitedGuaranteed === false).length,
--- a/tools/day/collectTraces.ts
+++ b/tools/day/collectTraces.ts
@@ -5,6 +5,16 @@
 
 const getRun = ({ fields }: LogLine): string => `${String(fields.task)}/${String(fields.run)}`;
 
+/** A run that ends before its task is done; the first line about it counts. */
+const noteLost =
+  (causeField: 'reason' | 'cause'): Handler =>
+  (job, line, runs) => {
+    const startedAt = runs.get(getRun(line));
+    if (startedAt === undefined) return;
+    runs.delete(getRun(line));
+    job.lost.push({ cause: String(line.fields[causeField]), ranMs: line.at - startedAt });
+  };
+
 /** What each line tells of its job. */
 const handlers: Record<string, Handler> = {
   request_recorded: (job, { at, fields }) => {
@@ -17,18 +27,8 @@
     job.firstStartAt ??= line.at;
     runs.set(getRun(line), line.at);
   },
-  run_stopping: (job, line, runs) => {
-    const startedAt = runs.get(getRun(line));
-    if (startedAt === undefined) return;
-    runs.delete(getRun(line));
-    job.lost.push({ cause: String(line.fields.reason), ranMs: line.at - startedAt });
-  },
-  run_over: (job, line, runs) => {
-    const startedAt = runs.get(getRun(line));
-    if (startedAt === undefined) return;
-    runs.delete(getRun(line));
-    job.lost.push({ cause: String(line.fields.cause), ranMs: line.at - startedAt });
-  },
+  run_stopping: noteLost('reason'),
+  run_over: noteLost('cause'),
   job_ended: (job, { at, fields }) => {
     job.endedAt ??= at;
     job.outcome ??= String(fields.outcome);
