--- a/test/platform/createSettingsWatch.test.ts
+++ b/test/platform/createSettingsWatch.test.ts
@@ -4,24 +4,7 @@
 import { afterEach, beforeEach, expect, test } from '@jest/globals';
 import { createSettingsWatch } from '../../platform/createSettingsWatch.js';
 import { loadSettings } from '../../platform/loadSettings.js';
-
-const text = `
-node_id = "vm-1"
-zone = "z"
-ip = "10.0.0.1"
-[listen]
-frontend = "10.0.0.1:80"
-readiness = "10.0.0.1:81"
-[limits]
-cpu_share = 0.5
-cpu_cores = 2
-[platform]
-address = "10.9.0.1:90"
-[bounds]
-max_hold_ms = 6000
-status_s = 120
-grace_s = 6
-`;
+import { platformSettings as text } from '../fixtures/platformSettings.js';
 
 let folder = '';
 let env: Record<string, string> = {};
