--- a/eslint.config.js
+++ b/eslint.config.js
@@ -32,4 +32,9 @@
       'max-lines-per-function': ['error', { max: 60, skipBlankLines: true, skipComments: true }],
     },
   },
+  {
+    // Development tools are not shipped; nothing else may use what is installed for them.
+    files: ['tools/day/**/*.ts'],
+    rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
+  },
 ];
--- a/src/control/callers/finishCallerAppend.ts
+++ b/src/control/callers/finishCallerAppend.ts
@@ -4,6 +4,7 @@
 import type { State } from '../State.js';
 import { answerCaller } from './answerCaller.js';
 import type { CallerAppend } from './CallerAppend.js';
+import { describeRecord } from './describeRecord.js';
 import { dropCallerAppend } from './dropCallerAppend.js';
 
 /** Answers the callers whose record the journal now has. */
@@ -16,7 +17,7 @@
   dropCallerAppend(state, append);
   const fields = {
     requestId: append.jobId,
-    record: append.record.type,
+    ...describeRecord(append.record),
     offset,
     tookMs: Math.round(now.at - append.firstAt),
   };
--- a/src/control/runs/sendStart.ts
+++ b/src/control/runs/sendStart.ts
@@ -32,6 +32,7 @@
     task: task.name,
     run: task.run,
     worker: worker.id,
+    gpu: task.need.gpu,
     heardMs: Math.round(now.at - worker.lastListedAt),
     resumed: checkpoint !== '',
     token: term.token,
--- a/test/tools/day/dayReport.test.ts
+++ b/test/tools/day/dayReport.test.ts
@@ -1,28 +1,36 @@
 import { expect, test } from '@jest/globals';
 import { buildDayReport } from '../../../tools/day/buildDayReport.js';
-import { parseLines } from '../../../tools/day/parseLines.js';
 import { collectTraces } from '../../../tools/day/collectTraces.js';
+import { collectUse } from '../../../tools/day/collectUse.js';
+import { drawUse } from '../../../tools/day/drawUse.js';
+import { parseLines } from '../../../tools/day/parseLines.js';
 
 const write = (second: number, code: string, fields: Record<string, unknown>): string =>
   JSON.stringify({ time: new Date(second * 1000).toISOString(), code, ...fields });
 
+const record = { record: 'submission', zone: 'z', workspace: 'ws' };
+const first = { requestId: 'a', task: 'a.0.0.0', run: 1 };
+const second = { requestId: 'a', task: 'a.0.0.0', run: 2 };
+
 const lines = [
-  write(1, 'request_recorded', { requestId: 'a', record: 'submission' }),
-  write(1, 'step_waiting', { requestId: 'a', guaranteed: true }),
-  `   3.1 vm-1 ${write(3, 'run_starting', { requestId: 'a', task: 'a.0.0.0', run: 1 })}`,
-  write(5, 'run_stopping', { requestId: 'a', task: 'a.0.0.0', run: 1, reason: 'preempted' }),
-  write(6, 'run_over', { requestId: 'a', task: 'a.0.0.0', run: 1, cause: 'stopped' }),
+  write(1, 'request_recorded', { requestId: 'a', ...record, queue: 'q', gpu: 8 }),
+  write(1, 'step_waiting', { requestId: 'a', guaranteed: true, wholeGpu: 16 }),
+  `   3.1 vm-1 ${write(3, 'run_starting', { ...first, gpu: 8 })}`,
+  write(5, 'run_stopping', { ...first, reason: 'preempted' }),
+  write(6, 'run_over', { ...first, cause: 'stopped' }),
+  write(6, 'run_starting', { ...second, gpu: 8 }),
+  write(8, 'task_done', second),
   write(9, 'job_ended', { requestId: 'a', outcome: 'completed', queue: 'q' }),
-  write(2, 'request_recorded', { requestId: 'b', record: 'submission' }),
+  write(2, 'request_recorded', { requestId: 'b', ...record, queue: 'other', gpu: 65 }),
   '{"time":"cut off',
   'no line of a daemon',
 ].join('\n');
 
 // Guards against a report that counts a lost run twice, or takes another line's time for the wait.
 test('a day is split into waits and lost runs', () => {
-  const [open, queue] = buildDayReport(collectTraces(parseLines(lines)));
+  const [open, queue] = buildDayReport(collectTraces(parseLines(lines))).queue;
   expect(queue).toMatchObject({
-    queue: 'q',
+    group: 'q',
     jobs: 1,
     outcomes: { completed: 1 },
     waited: { guaranteed: 1, others: 0 },
@@ -30,5 +38,49 @@
     ageMs: { median: 8000, p95: 8000 },
     lost: { preempted: { runs: 1, ranMs: 2000 } },
   });
-  expect(open).toMatchObject({ queue: '(not ended)', jobs: 1, outcomes: { open: 1 } });
+  expect(open).toMatchObject({ group: 'other', jobs: 1, outcomes: { open: 1 } });
+});
+
+// Guards against jobs that are left out of a split, or counted under another group.
+test('each job is in one group of each split', () => {
+  const report = buildDayReport(collectTraces(parseLines(lines)));
+  const groups = Object.entries(report).map(([name, split]) => [
+    name,
+    split.map(({ group, jobs }) => `${group}: ${jobs}`),
+  ]);
+  expect(Object.fromEntries(groups)).toEqual({
+    queue: ['other: 1', 'q: 1'],
+    workspace: ['ws: 2'],
+    zone: ['z: 2'],
+    size: ['over 64: 1', 'to 8: 1'],
+  });
+});
+
+// Guards against use that is drawn as kept although the run was lost, and against idle accelerators
+// that are not told from those that work waits for.
+test('each second says what the accelerators did', () => {
+  const none = { kept: 0, reclaimed: 0, lost: 0, idleWhileWaited: 0, idle: 0 };
+  const slices = collectUse(parseLines(lines));
+  expect(slices).toEqual([
+    { ...none, second: 1, idleWhileWaited: 16 },
+    { ...none, second: 2, idleWhileWaited: 16 },
+    { ...none, second: 3, reclaimed: 8, idle: 8 },
+    { ...none, second: 4, reclaimed: 8, idle: 8 },
+    { ...none, second: 5, idle: 16 },
+    { ...none, second: 6, kept: 8, idle: 8 },
+    { ...none, second: 7, kept: 8, idle: 8 },
+    { ...none, second: 8, idle: 16 },
+  ]);
+});
+
+// Guards against a chart without its bars.
+test('the chart is an SVG picture', async () => {
+  const svg = await drawUse(collectUse(parseLines(lines)));
+  expect(svg).toMatch(/^<svg[\s\S]*stopped for a guarantee[\s\S]*<\/svg>$/);
+});
+
+// Guards against a chart that cannot be drawn for a log without runs.
+test('a log without runs has an empty chart', async () => {
+  expect(collectUse(parseLines(''))).toEqual([]);
+  expect(await drawUse([])).toContain('<svg');
 });
--- a/tools/day/JobTrace.ts
+++ b/tools/day/JobTrace.ts
@@ -1,8 +1,13 @@
 /** What the logs tell of one job; times are epoch milliseconds. */
 export interface JobTrace {
   id: string;
-  /** Queue of the job, known once it has ended. */
+  /** What its acceptance said of it, or null if that is not in the lines. */
   queue: string | null;
+  workspace: string | null;
+  /** Availability zone of the VM that accepted it. */
+  zone: string | null;
+  /** Accelerators of its widest step. */
+  gpu: number | null;
   recordedAt: number | null;
   firstStartAt: number | null;
   endedAt: number | null;
--- a/tools/day/buildDayReport.ts
+++ b/tools/day/buildDayReport.ts
@@ -1,8 +1,9 @@
+import { collectBy } from '../../src/core/collectBy.js';
 import { countBy } from '../../src/control/report/countBy.js';
 import type { JobTrace } from './JobTrace.js';
 
-interface QueueReport {
-  queue: string;
+interface GroupReport {
+  group: string;
   jobs: number;
   outcomes: Record<string, number>;
   /** Jobs that found no room at once, by whether they were guaranteed. */
@@ -15,7 +16,25 @@
   lost: Record<string, { runs: number; ranMs: number }>;
 }
 
-const unknownQueue = '(not ended)';
+type Grouping = 'queue' | 'workspace' | 'zone' | 'size';
+
+// Accelerators up to which a job belongs to a size.
+const sizes = [1, 4, 8, 16, 32, 64];
+
+const formatSize = (gpu: number): string => {
+  const most = sizes.find((size) => gpu <= size);
+  return most === undefined ? `over ${sizes.at(-1)}` : `to ${most}`;
+};
+
+/** What a job is counted under, by what a report is split by. */
+const groupings: Record<Grouping, (job: JobTrace) => string | null> = {
+  queue: ({ queue }) => queue,
+  workspace: ({ workspace }) => workspace,
+  zone: ({ zone }) => zone,
+  size: ({ gpu }) => (gpu === null ? null : formatSize(gpu)),
+};
+
+const unknownGroup = '(unknown)';
 
 const getQuantile = (values: readonly number[], share: number): number => {
   const sorted = [...values].sort((a, b) => a - b);
@@ -33,8 +52,8 @@
     return end === null || job.recordedAt === null ? [] : [Math.max(0, end - job.recordedAt)];
   });
 
-const countLost = (jobs: readonly JobTrace[]): QueueReport['lost'] => {
-  const lost: QueueReport['lost'] = {};
+const countLost = (jobs: readonly JobTrace[]): GroupReport['lost'] => {
+  const lost: GroupReport['lost'] = {};
   jobs
     .flatMap((job) => job.lost)
     .forEach(({ cause, ranMs }) => {
@@ -44,22 +63,30 @@
   return lost;
 };
 
-/** Splits a day by queue: who waits and for how long, and what work was lost to which cause. */
-export const buildDayReport = (traces: readonly JobTrace[]): QueueReport[] => {
-  const queues = [...new Set(traces.map(({ queue }) => queue ?? unknownQueue))].sort();
-  return queues.map((queue) => {
-    const jobs = traces.filter((trace) => (trace.queue ?? unknownQueue) === queue);
-    return {
-      queue,
-      jobs: jobs.length,
-      outcomes: countBy(jobs.map(({ outcome }) => outcome ?? 'open')),
-      waited: {
-        guaranteed: jobs.filter(({ waitedGuaranteed }) => waitedGuaranteed === true).length,
-        others: jobs.filter(({ waitedGuaranteed }) => waitedGuaranteed === false).length,
-      },
-      waitMs: computeSummary(listSpans(jobs, ({ firstStartAt }) => firstStartAt)),
-      ageMs: computeSummary(listSpans(jobs, ({ endedAt }) => endedAt)),
-      lost: countLost(jobs),
-    };
-  });
+const buildGroup = (group: string, jobs: readonly JobTrace[]): GroupReport => ({
+  group,
+  jobs: jobs.length,
+  outcomes: countBy(jobs.map(({ outcome }) => outcome ?? 'open')),
+  waited: {
+    guaranteed: jobs.filter(({ waitedGuaranteed }) => waitedGuaranteed === true).length,
+    others: jobs.filter(({ waitedGuaranteed }) => waitedGuaranteed === false).length,
+  },
+  waitMs: computeSummary(listSpans(jobs, ({ firstStartAt }) => firstStartAt)),
+  ageMs: computeSummary(listSpans(jobs, ({ endedAt }) => endedAt)),
+  lost: countLost(jobs),
+});
+
+const splitBy = (traces: readonly JobTrace[], getGroup: (job: JobTrace) => string | null) => {
+  const byGroup = collectBy(traces, (trace) => getGroup(trace) ?? unknownGroup);
+  return [...byGroup]
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([name, jobs]) => buildGroup(name, jobs));
 };
+
+/** Splits a day in several ways: who waits and for how long, and what work was lost to which cause. */
+export const buildDayReport = (traces: readonly JobTrace[]): Record<Grouping, GroupReport[]> => ({
+  queue: splitBy(traces, groupings.queue),
+  workspace: splitBy(traces, groupings.workspace),
+  zone: splitBy(traces, groupings.zone),
+  size: splitBy(traces, groupings.size),
+});
--- a/tools/day/collectTraces.ts
+++ b/tools/day/collectTraces.ts
@@ -18,7 +18,12 @@
 /** What each line tells of its job. */
 const handlers: Record<string, Handler> = {
   request_recorded: (job, { at, fields }) => {
-    if (fields.record === 'submission') job.recordedAt ??= at;
+    if (fields.record !== 'submission' || job.recordedAt !== null) return;
+    job.recordedAt = at;
+    job.queue = String(fields.queue);
+    job.workspace = String(fields.workspace);
+    job.zone = String(fields.zone);
+    job.gpu = Number(fields.gpu);
   },
   step_waiting: (job, { fields }) => {
     job.waitedGuaranteed ??= fields.guaranteed === true;
@@ -47,6 +52,9 @@
     const job = jobs.get(id) ?? {
       id,
       queue: null,
+      workspace: null,
+      zone: null,
+      gpu: null,
       recordedAt: null,
       firstStartAt: null,
       endedAt: null,
--- a/tools/day/runDayReport.ts
+++ b/tools/day/runDayReport.ts
@@ -1,12 +1,20 @@
 import fs from 'node:fs';
+import { cac } from 'cac';
 import { buildDayReport } from './buildDayReport.js';
-import { parseLines } from './parseLines.js';
 import { collectTraces } from './collectTraces.js';
+import { collectUse } from './collectUse.js';
+import { drawUse } from './drawUse.js';
+import { parseLines } from './parseLines.js';
 
-const [file] = process.argv.slice(2);
-if (file === undefined) {
-  process.stderr.write('usage: npm run day-report -- LOGFILE\n');
-  process.exit(2);
-}
-const report = buildDayReport(collectTraces(parseLines(fs.readFileSync(file, 'utf8'))));
-process.stdout.write(`${JSON.stringify(report, null, 2)}\n`);
+const program = cac('npm run day-report --');
+program
+  .command('<log>', 'Report on a day from the log lines of its daemons')
+  .option('--chart <file>', 'Also draw the use of accelerators over the day as an SVG file')
+  .action(async (log: string, { chart }: { chart?: string }) => {
+    const lines = parseLines(fs.readFileSync(log, 'utf8'));
+    const report = buildDayReport(collectTraces(lines));
+    process.stdout.write(`${JSON.stringify(report, null, 2)}\n`);
+    if (chart !== undefined) fs.writeFileSync(chart, await drawUse(collectUse(lines)));
+  });
+program.help();
+program.parse();
