--- a/test/control/fuzz/dayArbitrary.ts
+++ b/test/control/fuzz/dayArbitrary.ts
@@ -1,21 +1,10 @@
 import fc from 'fast-check';
+import { calmKinds } from './calmKinds.js';
 import type { FaultAction } from './FaultAction.js';
-
-const submissions: FaultAction['kind'][] = [
-  'submit',
-  'submitGang',
-  'submitSteps',
-  'submitTimed',
-  'submitSaving',
-  'submitApart',
-  'submitLabelled',
-  'submitLasting',
-];
+import { submissions } from './submissions.js';
 
 const kinds: FaultAction['kind'][] = [
-  ...submissions,
-  'cancel',
-  'changeConfig',
+  ...calmKinds,
   'kill',
   'freeze',
   'terminate',
@@ -31,14 +20,19 @@
   'failWorker',
 ];
 
-/** Random days: jobs and faults that overlap. */
-export const dayArbitrary: fc.Arbitrary<FaultAction[]> = fc.array(
-  fc.record({
-    // Half of the steps bring work.
-    kind: fc.oneof(fc.constantFrom(...submissions), fc.constantFrom(...kinds)),
-    afterMs: fc.integer({ min: 0, max: 1200 }),
-    target: fc.integer({ min: 0, max: 11 }),
-    lastsMs: fc.integer({ min: 100, max: 5000 }),
-  }),
-  { minLength: 5, maxLength: 30 },
-);
+const createDays = (kind: fc.Arbitrary<FaultAction['kind']>): fc.Arbitrary<FaultAction[]> =>
+  fc.array(
+    fc.record({
+      kind,
+      afterMs: fc.integer({ min: 0, max: 1200 }),
+      target: fc.integer({ min: 0, max: 11 }),
+      lastsMs: fc.integer({ min: 100, max: 5000 }),
+    }),
+    { minLength: 5, maxLength: 30 },
+  );
+
+/** Random days: calm ones, and ones on which faults overlap; at least half of their steps bring work. */
+export const dayArbitrary = {
+  calm: createDays(fc.constantFrom(...calmKinds)),
+  troubled: createDays(fc.oneof(fc.constantFrom(...submissions), fc.constantFrom(...kinds))),
+};
--- a/test/control/fuzz/runDay.ts
+++ b/test/control/fuzz/runDay.ts
@@ -7,6 +7,7 @@
 import type { Office } from '../world/Office.js';
 import { showState } from '../world/showState.js';
 import { applyAction } from './applyAction.js';
+import { calmKinds } from './calmKinds.js';
 import type { FaultAction } from './FaultAction.js';
 
 // Beyond leases, pauses of workers and the longest fault.
@@ -83,6 +84,14 @@
     .filter(({ state }) => state.config?.version !== store.streams.config.length)
     .map(({ id, state }) => `${id} has version ${state.config?.version} in force`);
 
+/** Without trouble no gang waits for a member in vain, and no lease lapses. */
+const findWasted = (office: Office, actions: readonly FaultAction[]): string[] =>
+  actions.every(({ kind }) => calmKinds.includes(kind))
+    ? office.runs
+        .filter(({ kind }) => kind === 'alone' || kind === 'lapsed')
+        .map(({ task, run, kind }) => `${task} ends ${kind} on a calm day: ${run}`)
+    : [];
+
 /** Plays a random day on virtual time; returns what broke a promise. */
 export const runDay = (seed: number, actions: readonly FaultAction[]): string[] => {
   const office = createOffice({ vms: 3, workers: 6, seed });
@@ -101,6 +110,7 @@
     ...findBrokenRules(office),
     ...findBrokenJobs(office),
     ...findMisbilled(office),
+    ...findWasted(office, actions),
     ...findFalseRefusals(office, day.sent),
     ...findUnfinished(office, day.sent),
     ...findWrongLasting(office, day.sent, day.cancelled),
--- a/test/control/world/FakeRun.ts
+++ b/test/control/world/FakeRun.ts
@@ -1,3 +1,5 @@
+import type { FakeGang } from './FakeGang.js';
+
 /** One run at a fake worker, as the worker itself knows it. */
 export interface FakeRun {
   task: string;
@@ -9,7 +11,13 @@
   endedAt: number | null;
   /** It was told to stop, and ends so at `dueAt`. */
   stopping: boolean;
-  kind: 'done' | 'failed' | 'stopped' | 'lapsed' | 'gone' | null;
+  kind: 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'gone' | null;
+  /** The members that it works with, or null. */
+  gang: FakeGang | null;
+  /** When its work began: for a gang, when all members were there. */
+  beganAt: number | null;
+  /** Work that it has left at its start, at the speed of its worker. */
+  workMs: number;
   /** Checkpoint that it started from, or empty. */
   checkpoint: string;
   /** It saves its progress at intervals and at its end. */
--- a/test/control/world/FakeWorker.ts
+++ b/test/control/world/FakeWorker.ts
@@ -25,4 +25,6 @@
   speed: number;
   /** Nothing that runs moves on. */
   hanging: boolean;
+  /** Looks that wait for an end. */
+  waiters: Set<() => void>;
 }
--- a/test/control/world/Office.ts
+++ b/test/control/world/Office.ts
@@ -1,6 +1,7 @@
 import type { Effect } from '../../../src/control/Effect.js';
 import type { UntimedEvent } from '../../../src/control/UntimedEvent.js';
 import type { CallerAnswer } from '../../../src/control/callers/CallerAnswer.js';
+import type { FakeGang } from './FakeGang.js';
 import type { FakeRun } from './FakeRun.js';
 import type { FakeStore } from './FakeStore.js';
 import type { FakeVm } from './FakeVm.js';
@@ -14,6 +15,8 @@
   workers: Map<string, FakeWorker>;
   /** Every run that a worker began. */
   runs: FakeRun[];
+  /** Gangs by the name of their step and the number of their run. */
+  gangs: Map<string, FakeGang>;
   answers: Map<number, CallerAnswer>;
   logs: { at: number; vmId: string; code: string; fields: Record<string, unknown> }[];
   queue: { at: number; order: number; action: () => void }[];
--- a/test/control/world/createOffice.ts
+++ b/test/control/world/createOffice.ts
@@ -7,9 +7,11 @@
 import { epochWall } from './epochWall.js';
 import { createRandom } from '../../fuzz/world/createRandom.js';
 import type { Office } from './Office.js';
+import { endRun } from './endRun.js';
 import { publishConfig } from './publishConfig.js';
 import { serveStore, storeRecord } from './serveStore.js';
-import { serveWorker, settleWorker } from './serveWorker.js';
+import { serveWorker } from './serveWorker.js';
+import { settleWorker } from './settleWorker.js';
 
 const tickMs = 100;
 
@@ -114,6 +116,7 @@
     failing: false,
     speed: 1,
     hanging: false,
+    waiters: new Set(),
   });
   listWorker(office, id, 'ready');
 };
@@ -124,11 +127,9 @@
   // Behind a cut nobody has asked it for a while.
   settleWorker(office, worker);
   worker.up = false;
-  worker.running.forEach((run) => {
-    run.endedAt = office.now;
-    run.kind = 'gone';
-  });
-  worker.running.clear();
+  [...worker.running.values()]
+    .filter(({ endedAt }) => endedAt === null)
+    .forEach((run) => endRun(office, run, 'gone'));
 };
 
 interface OfficeOptions {
@@ -164,6 +165,7 @@
     vms: [],
     workers: new Map(),
     runs: [],
+    gangs: new Map(),
     answers: new Map(),
     logs: [],
     queue: [],
--- a/test/control/world/serveWorker.ts
+++ b/test/control/world/serveWorker.ts
@@ -2,60 +2,32 @@
 import type { WorkerCall } from '../../../src/control/workers/WorkerCall.js';
 import type { WorkerEffect } from '../../../src/control/workers/WorkerEffect.js';
 import { after } from './after.js';
+import { beginGang } from './beginGang.js';
+import { computeCheckpoint } from './computeCheckpoint.js';
 import type { FakeRun } from './FakeRun.js';
 import type { FakeVm } from './FakeVm.js';
 import type { FakeWorker } from './FakeWorker.js';
 import type { Office } from './Office.js';
+import { readSavedMs } from './readSavedMs.js';
+import { settleWorker } from './settleWorker.js';
 
 const wayMs = 1;
 const latestLateMs = 4000;
 const longestStopMs = 200;
 
-const checkpointEveryMs = 500;
-
 /** Run time of a task: the number in its spec, which ends with `s` if the task saves its progress. */
 const readRunMs = (spec: string): number => Number.parseInt(spec, 10);
 
-/** Work that a checkpoint stands for: the number after the task's name. */
-const readSavedMs = (checkpoint: string): number => Number(checkpoint.split('@')[1] ?? 0);
-
-/** The newest checkpoint of a run that has gone on until now. */
-const computeCheckpoint = (office: Office, run: FakeRun): string => {
-  if (!run.saves) return '';
-  const workedMs = readSavedMs(run.checkpoint) + (office.now - run.startedAt);
-  const savedMs = Math.floor(workedMs / checkpointEveryMs) * checkpointEveryMs;
-  return savedMs === 0 ? '' : `${run.task}@${savedMs}`;
-};
-
 const readClock = (office: Office, worker: FakeWorker): number => office.now - worker.bootAt;
 
-const endRun = (office: Office, worker: FakeWorker, run: FakeRun, kind: FakeRun['kind']): void => {
-  worker.running.delete(run.task);
-  run.endedAt = office.now;
-  run.kind = kind;
-  run.endCheckpoint = computeCheckpoint(office, run);
-  worker.lastEnd += 1;
-  worker.over.set(run.task, Math.max(run.run, worker.over.get(run.task) ?? 0));
-  worker.ended.push({ number: worker.lastEnd, run });
-};
-
-const chooseKind = (worker: FakeWorker, run: FakeRun): FakeRun['kind'] => {
-  if (run.stopping) return 'stopped';
-  return worker.failing ? 'failed' : 'done';
-};
+/** Has the worker end what ends by then without being asked. */
+const planSettle = (office: Office, worker: FakeWorker, delayMs: number): void =>
+  after(office, delayMs, () => settleWorker(office, worker));
 
-/** Brings a worker up to the present: what is done has ended, and what lost its lease too. */
-export const settleWorker = (office: Office, worker: FakeWorker): void => {
-  [...worker.running.values()].forEach((run) => {
-    const lapsesAt = worker.leaseUntil + worker.bootAt;
-    const endsAt = Math.min(run.dueAt, lapsesAt);
-    const hangs = worker.hanging && !run.stopping && endsAt !== lapsesAt;
-    if (office.now < endsAt || hangs) return;
-    const { now } = office;
-    office.now = endsAt;
-    endRun(office, worker, run, lapsesAt < run.dueAt ? 'lapsed' : chooseKind(worker, run));
-    office.now = now;
-  });
+const extendLease = (office: Office, worker: FakeWorker, until: number): void => {
+  const clock = readClock(office, worker);
+  worker.leaseUntil = Math.max(worker.leaseUntil, Math.min(until, clock + office.maxLeaseMs));
+  planSettle(office, worker, Math.max(0, worker.leaseUntil - clock));
 };
 
 const startRun = (
@@ -67,15 +39,17 @@
   if (call.until < clock) return { type: 'refused', reason: 'late', clock };
   if ((worker.over.get(call.task) ?? 0) >= call.run)
     return { type: 'refused', reason: 'old-run', clock };
-  worker.leaseUntil = Math.max(worker.leaseUntil, Math.min(call.until, clock + office.maxLeaseMs));
+  extendLease(office, worker, call.until);
   if (worker.running.has(call.task)) return { type: 'done', clock };
   const run: FakeRun = {
     task: call.task,
     run: call.run,
     workerId: worker.id,
     startedAt: office.now,
-    dueAt:
-      office.now + Math.max(0, readRunMs(call.spec) - readSavedMs(call.checkpoint)) / worker.speed,
+    dueAt: Number.POSITIVE_INFINITY,
+    gang: null,
+    beganAt: null,
+    workMs: Math.max(0, readRunMs(call.spec) - readSavedMs(call.checkpoint)) / worker.speed,
     saves: call.spec.endsWith('s'),
     endCheckpoint: '',
     endedAt: null,
@@ -87,6 +61,8 @@
   };
   worker.running.set(call.task, run);
   office.runs.push(run);
+  beginGang(office, run);
+  planSettle(office, worker, Math.min(run.workMs, run.dueAt));
   return { type: 'done', clock };
 };
 
@@ -101,7 +77,7 @@
     run.stopping = true;
     const stopMs = office.random() * longestStopMs;
     run.dueAt = Math.min(run.dueAt, office.now + stopMs);
-    after(office, stopMs, () => settleWorker(office, worker));
+    planSettle(office, worker, stopMs);
   }
   return { type: 'done', clock: readClock(office, worker) };
 };
@@ -109,14 +85,11 @@
 // The platform's figure is rough: a long run shows 100 long before its end.
 const percentRate = 200;
 
-const computePercent = (
-  office: Office,
-  worker: FakeWorker,
-  startedAt: number,
-  dueAt: number,
-): number => {
-  const share = (office.now - startedAt) / (dueAt - startedAt);
-  return worker.hanging ? 0 : Math.min(100, Math.floor(percentRate * share));
+const computePercent = (office: Office, worker: FakeWorker, run: FakeRun): number => {
+  if (worker.hanging || run.beganAt === null) return 0;
+  // Members of a gang end together, but each moves on at the speed of its worker.
+  const share = (office.now - run.beganAt) / Math.max(1, run.workMs);
+  return Math.min(100, Math.floor(percentRate * share));
 };
 
 const listRuns = (office: Office, worker: FakeWorker): WorkerAnswer => ({
@@ -127,7 +100,7 @@
     task: run.task,
     run: run.run,
     checkpoint: computeCheckpoint(office, run),
-    percent: computePercent(office, worker, run.startedAt, run.dueAt),
+    percent: computePercent(office, worker, run),
   })),
   ended: worker.ended.map(({ number, run }) => ({
     number,
@@ -143,13 +116,7 @@
   worker: FakeWorker,
   call: Extract<WorkerCall, { type: 'hold' }>,
 ): WorkerAnswer => {
-  const clock = readClock(office, worker);
-  if (call.until !== null) {
-    worker.leaseUntil = Math.max(
-      worker.leaseUntil,
-      Math.min(call.until, clock + office.maxLeaseMs),
-    );
-  }
+  if (call.until !== null) extendLease(office, worker, call.until);
   worker.ended.forEach(({ number, run }) => {
     if (number <= call.lastSeen) run.noted = true;
   });
@@ -176,13 +143,23 @@
   return holdRuns(office, worker, call);
 };
 
-/** When a look that waits is answered: at the next end, or when its wait is over. */
-const computeWait = (office: Office, worker: FakeWorker, call: WorkerCall): number => {
-  if (call.type !== 'hold') return 0;
-  settleWorker(office, worker);
-  if (worker.ended.some(({ number }) => number > call.lastSeen)) return 0;
-  const ends = [...worker.running.values()].map(({ dueAt }) => dueAt - office.now);
-  return Math.max(0, Math.min(call.waitMs, ...ends));
+/** Answers a look that waits: at the next end, or when its wait is over. */
+const waitForEnd = (
+  office: Office,
+  worker: FakeWorker,
+  call: Extract<WorkerCall, { type: 'hold' }>,
+  answer: () => void,
+): void => {
+  const isListed = worker.ended.some(({ number }) => number > call.lastSeen);
+  let waits = true;
+  const answerOnce = (): void => {
+    if (!waits) return;
+    waits = false;
+    worker.waiters.delete(answerOnce);
+    answer();
+  };
+  if (!isListed) worker.waiters.add(answerOnce);
+  after(office, isListed ? 0 : call.waitMs, answerOnce);
 };
 
 const isReachable = ({ up, cutOff }: FakeWorker): boolean => up && !cutOff;
@@ -224,7 +201,7 @@
       reply(refused, wayMs);
       return;
     }
-    after(office, computeWait(office, worker, call), () => {
+    waitForEnd(office, worker, call, () => {
       if (!isReachable(worker) || vm.cutFromWorkers) reply({ type: 'unanswered' }, timeoutMs);
       else reply(carryOut(office, worker, token, { ...call, until: null }), wayMs);
     });
--- a/test/tools/day/dayReport.test.ts
+++ b/test/tools/day/dayReport.test.ts
@@ -2,7 +2,7 @@
 import { buildDayReport } from '../../../tools/day/buildDayReport.js';
 import { collectTraces } from '../../../tools/day/collectTraces.js';
 import { collectUse } from '../../../tools/day/collectUse.js';
-import { drawUse } from '../../../tools/day/drawUse.js';
+import { formatUseChart } from '../../../tools/day/formatUseChart.js';
 import { parseLines } from '../../../tools/day/parseLines.js';
 
 const write = (second: number, code: string, fields: Record<string, unknown>): string =>
@@ -75,12 +75,12 @@
 
 // Guards against a chart without its bars.
 test('the chart is an SVG picture', async () => {
-  const svg = await drawUse(collectUse(parseLines(lines)));
+  const svg = await formatUseChart(collectUse(parseLines(lines)));
   expect(svg).toMatch(/^<svg[\s\S]*stopped for a guarantee[\s\S]*<\/svg>$/);
 });
 
 // Guards against a chart that cannot be drawn for a log without runs.
 test('a log without runs has an empty chart', async () => {
   expect(collectUse(parseLines(''))).toEqual([]);
-  expect(await drawUse([])).toContain('<svg');
+  expect(await formatUseChart([])).toContain('<svg');
 });
--- a/tools/day/collectUse.ts
+++ b/tools/day/collectUse.ts
@@ -56,20 +56,20 @@
   },
 };
 
-const overlapMs = (span: { from: number; until: number }, from: number): number =>
+const computeOverlapMs = (span: { from: number; until: number }, from: number): number =>
   Math.max(0, Math.min(span.until, from + secondMs) - Math.max(span.from, from));
 
-const sumUse = (runs: readonly RunSpan[], fate: RunSpan['fate'], from: number): number =>
+const computeUse = (runs: readonly RunSpan[], fate: RunSpan['fate'], from: number): number =>
   runs
     .filter((run) => run.fate === fate)
-    .reduce((sum, run) => sum + (overlapMs(run, from) / secondMs) * run.gpu, 0);
+    .reduce((sum, run) => sum + (computeOverlapMs(run, from) / secondMs) * run.gpu, 0);
 
 const buildSlice = (day: Day, runs: readonly RunSpan[], from: number): UseSlice => {
-  const kept = sumUse(runs, 'kept', from);
-  const reclaimed = sumUse(runs, 'reclaimed', from);
-  const lost = sumUse(runs, 'lost', from);
+  const kept = computeUse(runs, 'kept', from);
+  const reclaimed = computeUse(runs, 'reclaimed', from);
+  const lost = computeUse(runs, 'lost', from);
   const free = Math.max(0, day.wholeGpu - kept - reclaimed - lost);
-  const isWaited = day.waits.some((wait) => overlapMs(wait, from) > 0);
+  const isWaited = day.waits.some((wait) => computeOverlapMs(wait, from) > 0);
   return {
     second: from / secondMs,
     kept,
--- a/tools/day/drawUse.ts
+++ b/tools/day/formatUseChart.ts
@@ -46,5 +46,5 @@
 });
 
 /** Draws the use of accelerators over a day as an SVG picture with a bar for each second. */
-export const drawUse = (slices: readonly UseSlice[]): Promise<string> =>
+export const formatUseChart = (slices: readonly UseSlice[]): Promise<string> =>
   new View(parse(compile(buildSpec(slices)).spec), { renderer: 'none' }).toSVG();
--- a/tools/day/runDayReport.ts
+++ b/tools/day/runDayReport.ts
@@ -3,7 +3,7 @@
 import { buildDayReport } from './buildDayReport.js';
 import { collectTraces } from './collectTraces.js';
 import { collectUse } from './collectUse.js';
-import { drawUse } from './drawUse.js';
+import { formatUseChart } from './formatUseChart.js';
 import { parseLines } from './parseLines.js';
 
 const program = cac('npm run day-report --');
@@ -14,7 +14,7 @@
     const lines = parseLines(fs.readFileSync(log, 'utf8'));
     const report = buildDayReport(collectTraces(lines));
     process.stdout.write(`${JSON.stringify(report, null, 2)}\n`);
-    if (chart !== undefined) fs.writeFileSync(chart, await drawUse(collectUse(lines)));
+    if (chart !== undefined) fs.writeFileSync(chart, await formatUseChart(collectUse(lines)));
   });
 program.help();
 program.parse();
