Let work that waits beside room have any of it once urgent work has ceased

The workers that are kept for urgent work stay kept while half of the accelerators are in use, for good where a guarantee is large, although by processors less than half was in use; a tight gang also waits for one rack as long as there is none. Change: beside room, and 3 s after the last urgent job was accepted, work that has waited 2 s may use kept workers, cross racks and leave its data; work that lasts may at any time, as its rule asks.

--- a/src/control/lead/Term.ts
+++ b/src/control/lead/Term.ts
@@ -28,8 +28,11 @@
   /** Jobs without a submission whose progress has to be dropped. */
   orphans: Set<string>;
   writers: Record<LeadStream, LeadWriter>;
-  /** Recent peak of the accelerators that urgent work needs, and when it was noted. */
-  urgentDemand: { gpu: number; at: number };
+  /**
+   * Recent peak of the accelerators that urgent work needs, and when it was noted; the epoch
+   * milliseconds at which the newest urgent job was accepted, and when that was noted.
+   */
+  urgentDemand: { gpu: number; at: number; newest: number; newestAt: number };
   /** Use of the workspaces by day, and the totals that have to be written. */
   usage: { totals: Map<string, UsageTotal>; due: Set<string> };
   /** Smoothed logarithm of run times over declared ones, by queue. */
--- a/src/control/lead/beginTerm.ts
+++ b/src/control/lead/beginTerm.ts
@@ -33,7 +33,7 @@
     unpublished: new Set(),
     orphans: new Set(),
     writers: { journal: createWriter(now), runs: createWriter(now) },
-    urgentDemand: { gpu: 0, at: now.at },
+    urgentDemand: { gpu: 0, at: now.at, newest: 0, newestAt: now.at },
     usage: { totals: new Map(), due: new Set() },
     overruns: new Map(),
     speedsAt: now.at,
--- a/src/control/placement/Pass.ts
+++ b/src/control/placement/Pass.ts
@@ -12,6 +12,10 @@
   /** Accelerators in use, with what the pass has placed, and all that there are. */
   usedGpu: number;
   wholeGpu: number;
+  /** Less than half of the processors, the memory or the accelerators were in use before the pass. */
+  isRoomy: boolean;
+  /** No urgent work has come for a while. */
+  isQuiet: boolean;
   /** Free accelerators of the emptiest worker before the pass; wider tasks need not be tried. */
   mostFreeGpu: number;
 }
--- a/src/control/placement/keepForUrgent.ts
+++ b/src/control/placement/keepForUrgent.ts
@@ -30,10 +30,26 @@
   return gpu;
 };
 
+/** Epoch milliseconds at which the newest urgent job was accepted. */
+const findNewest = (term: Term): number => {
+  let newest = 0;
+  term.plans.forEach(({ priority, submission }) => {
+    if (priority === 0) newest = Math.max(newest, submission.acceptedAt);
+  });
+  return newest;
+};
+
 const noteDemand = (term: Term, now: Now): number => {
-  const faded = term.urgentDemand.gpu * Math.exp((term.urgentDemand.at - now.at) / memoryMs);
-  term.urgentDemand = { gpu: Math.max(faded, countDemand(term)), at: now.at };
-  return term.urgentDemand.gpu;
+  const { urgentDemand } = term;
+  const faded = urgentDemand.gpu * Math.exp((urgentDemand.at - now.at) / memoryMs);
+  urgentDemand.gpu = Math.max(faded, countDemand(term));
+  urgentDemand.at = now.at;
+  const newest = findNewest(term);
+  if (newest > urgentDemand.newest) {
+    urgentDemand.newest = newest;
+    urgentDemand.newestAt = now.at;
+  }
+  return urgentDemand.gpu;
 };
 
 const countGuaranteed = (state: State): number =>
--- a/src/control/placement/listCandidates.ts
+++ b/src/control/placement/listCandidates.ts
@@ -1,4 +1,6 @@
+import type { Now } from '../Now.js';
 import type { Worker } from '../workers/Worker.js';
+import { isStarved } from './isStarved.js';
 import type { Pass } from './Pass.js';
 import type { Unit } from './Unit.js';
 
@@ -10,11 +12,11 @@
   unit.plan.priority === 0 || unit.step.step.checkpointing;
 
 /** Workers on which the unit may run by service, label and what is kept for urgent work. */
-export const listCandidates = (pass: Pass, unit: Unit): Worker[] => {
+export const listCandidates = (pass: Pass, unit: Unit, now: Now): Worker[] => {
   const { requiredLabel } = unit.step.step;
   const workers = pass.workersByService.get(unit.plan.submission.service) ?? [];
   const busy = pass.usedGpu >= pass.wholeGpu * busyPart;
-  const all = !busy || mayUseKept(unit);
+  const all = !busy || mayUseKept(unit) || isStarved(pass, unit, now);
   return workers.filter(
     ({ id, entry }) =>
       (all || !pass.kept.has(id)) &&
--- a/src/control/placement/placeGang.ts
+++ b/src/control/placement/placeGang.ts
@@ -3,6 +3,7 @@
 import { choosePlaces } from './choosePlaces.js';
 import { getFree } from './getFree.js';
 import { groupByRack } from './groupByRack.js';
+import { isStarved } from './isStarved.js';
 import type { Pass } from './Pass.js';
 import type { Unit } from './Unit.js';
 
@@ -12,8 +13,9 @@
 // A guarantee counts from the start of the work, so a slow start is better than a late one.
 const rackPatienceMs = 1200;
 
-const mayCrossRacks = (unit: Unit, now: Now): boolean =>
-  unit.guaranteed && now.wall - unit.plan.submission.acceptedAt > rackPatienceMs;
+const mayCrossRacks = (pass: Pass, unit: Unit, now: Now): boolean =>
+  isStarved(pass, unit, now) ||
+  (unit.guaranteed && now.wall - unit.plan.submission.acceptedAt > rackPatienceMs);
 
 /**
  * Chooses a worker for each member of a gang: in one rack if one has room, the fullest first,
@@ -38,7 +40,7 @@
     }))
     .sort((a, b) => a.slowness - b.slowness || a.left - b.left);
   if (inRacks[0]) return inRacks[0].places;
-  if (unit.step.step.sameRack && !mayCrossRacks(unit, now)) return null;
+  if (unit.step.step.sameRack && !mayCrossRacks(pass, unit, now)) return null;
   const places = choosePlaces(pass, unit, workers, count);
   return places.length === count ? places : null;
 };
--- a/src/control/placement/placeWaiting.ts
+++ b/src/control/placement/placeWaiting.ts
@@ -1,9 +1,11 @@
 import type { Effect } from '../Effect.js';
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
+import type { Resources } from '../Resources.js';
 import type { State } from '../State.js';
 import { isUsable } from '../workers/isUsable.js';
 import type { Worker } from '../workers/Worker.js';
+import { addResources } from './addResources.js';
 import { collectUnits } from './collectUnits.js';
 import { keepForUrgent } from './keepForUrgent.js';
 import { listCandidates } from './listCandidates.js';
@@ -16,17 +18,29 @@
 import { reserveStart } from './reserveStart.js';
 import type { Unit } from './Unit.js';
 
-const countGpu = (term: Term): Pick<Pass, 'usedGpu' | 'wholeGpu' | 'mostFreeGpu'> => {
-  let usedGpu = 0;
+// With less than this part of a resource in use there is room to spare.
+const roomyPart = 0.5;
+// Urgent work comes several times as often while there is any.
+const quietMs = 3000;
+
+const nothing = { cpu: 0, memMb: 0, gpu: 0 };
+
+const measureUse = (term: Term): Pick<Pass, 'usedGpu' | 'wholeGpu' | 'mostFreeGpu' | 'isRoomy'> => {
+  let used: Resources = nothing;
+  let whole: Resources = nothing;
   let mostFreeGpu = 0;
-  let wholeGpu = 0;
-  term.workers.forEach(({ entry, used }) => {
-    if (!entry) return;
-    usedGpu += used.gpu;
-    wholeGpu += entry.capacity.gpu;
-    mostFreeGpu = Math.max(mostFreeGpu, entry.capacity.gpu - used.gpu);
+  term.workers.forEach((worker) => {
+    if (!worker.entry) return;
+    const { capacity } = worker.entry;
+    used = addResources(used, worker.used);
+    whole = addResources(whole, capacity);
+    mostFreeGpu = Math.max(mostFreeGpu, capacity.gpu - worker.used.gpu);
   });
-  return { usedGpu, wholeGpu, mostFreeGpu };
+  const isRoomy =
+    used.gpu < whole.gpu * roomyPart ||
+    used.cpu < whole.cpu * roomyPart ||
+    used.memMb < whole.memMb * roomyPart;
+  return { usedGpu: used.gpu, wholeGpu: whole.gpu, mostFreeGpu, isRoomy };
 };
 
 const openPass = (state: State, term: Term, now: Now): Pass => {
@@ -41,7 +55,8 @@
     workersByService,
     held: new Map(),
     kept: keepForUrgent(state, term, workersByService, now),
-    ...countGpu(term),
+    isQuiet: now.at - term.urgentDemand.newestAt > quietMs,
+    ...measureUse(term),
   };
 };
 
@@ -59,7 +74,7 @@
   return collectUnits(term, guaranteed, now).flatMap((unit) => {
     const tooWide = unit.step.step.need.gpu > pass.mostFreeGpu;
     if (tooWide && !unit.guaranteed && unit.step.waitLogged) return [];
-    const workers = listCandidates(pass, unit);
+    const workers = listCandidates(pass, unit, now);
     if (!tooWide || unit.guaranteed) {
       reserveStart(term, pass, unit, choose(pass, unit, workers, now), now);
     }
--- a/test/control/placement.test.ts
+++ b/test/control/placement.test.ts
@@ -1,5 +1,7 @@
 import { expect, test } from '@jest/globals';
 import { createOffice } from './world/createOffice.js';
+import { findLead } from './world/findLead.js';
+import type { Office } from './world/Office.js';
 import { runFor } from './world/runFor.js';
 import { submitJob } from './world/submitJob.js';
 
@@ -42,3 +44,64 @@
   runFor(office, 300);
   expect(office.runs.map(({ workerId }) => workerId)).toEqual(['w2']);
 });
+
+// Runs two whole workers of accelerators in each of two racks, with hardly any processors.
+const fillWorkers = (workers: string[]): Office => {
+  const office = createOffice({ vms: 1, workers: 6 });
+  runFor(office, 3000);
+  const term = findLead(office)!.state.term!;
+  term.workers.forEach((worker) => {
+    if (!workers.includes(worker.id)) worker.asideUntil = Number.POSITIVE_INFINITY;
+  });
+  workers.forEach((_, job) => submitJob(office, `f${job}`, { gpu: 8, runMs: 20_000 }));
+  runFor(office, 3000);
+  term.workers.forEach((worker) => {
+    worker.asideUntil = 0;
+  });
+  return office;
+};
+
+const countRuns = (office: Office, id: string): number =>
+  office.runs.filter(({ task }) => task.startsWith(prefix(id))).length;
+
+// Pattern: wide accelerators on few processors, after the urgent work of the day. Guards against work
+// that waits without an end beside idle workers that are kept for urgent work, and against kept workers
+// that are given away while urgent work still comes.
+test.each([
+  ['quiet', 0, 2],
+  ['busy', 10_000, 0],
+])('kept workers of a %s time beside room', (_name, newestAt, expected) => {
+  const office = fillWorkers(['w0', 'w1', 'w2', 'w4']);
+  const term = findLead(office)!.state.term!;
+  term.urgentDemand = { gpu: 16, at: office.now, newest: 0, newestAt };
+  ['w3', 'w5'].forEach((id) => {
+    term.workers.get(id)!.slowness.mean = -0.5;
+  });
+  submitJob(office, 'a', { gpu: 8, steps: [{ count: 2 }] });
+  runFor(office, 1800);
+  expect(countRuns(office, 'a')).toBe(0);
+  runFor(office, 900);
+  expect(countRuns(office, 'a')).toBe(expected);
+});
+
+// Pattern: idle workers spread over racks. Guards against tight gangs that wait for a rack to come free
+// for as long as others run.
+test('a tight gang crosses racks rather than wait beside plenty of room', () => {
+  const office = fillWorkers(['w0', 'w1', 'w2', 'w4']);
+  submitJob(office, 'a', { gpu: 8, steps: [{ count: 2, gang: true, sameRack: true }] });
+  runFor(office, 1800);
+  expect(countRuns(office, 'a')).toBe(0);
+  runFor(office, 900);
+  expect(countRuns(office, 'a')).toBe(2);
+});
+
+// Pattern: data in a rack that is full. Guards against work that waits for a place near its data for as
+// long as it would run.
+test('work leaves its data rather than wait beside plenty of room', () => {
+  const office = fillWorkers(['w0', 'w1', 'w2', 'w3']);
+  submitJob(office, 'a', { gpu: 8, runMs: 9000, steps: [{ dataRack: 'r0' }] });
+  runFor(office, 1800);
+  expect(countRuns(office, 'a')).toBe(0);
+  runFor(office, 900);
+  expect(countRuns(office, 'a')).toBe(1);
+});
