--- a/test/control/placement.test.ts
+++ b/test/control/placement.test.ts
@@ -68,16 +68,17 @@
 // that waits without an end beside idle workers that are kept for urgent work, and against kept workers
 // that are given away while urgent work still comes.
 test.each([
-  ['quiet', 0, 2],
-  ['busy', 10_000, 0],
-])('kept workers of a %s time beside room', (_name, newestAt, expected) => {
+  ['a quiet time', 0, false, 2],
+  ['a busy time', 10_000, false, 0],
+  ['a busy time, for work that lasts', 10_000, true, 2],
+])('kept workers in %s', (_name, newestAt, longRunning, expected) => {
   const office = fillWorkers(['w0', 'w1', 'w2', 'w4']);
   const term = findLead(office)!.state.term!;
   term.urgentDemand = { gpu: 16, at: office.now, newest: 0, newestAt };
   ['w3', 'w5'].forEach((id) => {
     term.workers.get(id)!.slowness.mean = -0.5;
   });
-  submitJob(office, 'a', { gpu: 8, steps: [{ count: 2 }] });
+  submitJob(office, 'a', { gpu: 8, runMs: 9000, steps: [{ count: 2, longRunning }] });
   runFor(office, 1800);
   expect(countRuns(office, 'a')).toBe(0);
   runFor(office, 900);
