--- a/src/control/placement/keepForUrgent.ts
+++ b/src/control/placement/keepForUrgent.ts
@@ -1,6 +1,7 @@
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
 import { isJobEnded } from '../plans/isJobEnded.js';
+import type { JobPlan } from '../plans/JobPlan.js';
 import type { State } from '../State.js';
 import type { Worker } from '../workers/Worker.js';
 
@@ -17,34 +18,33 @@
 // a change of mind would keep workers that are full of other work.
 const keptLead = 0.25;
 
-const countDemand = (term: Term): number => {
+const countGpuWanted = ({ occurrences }: JobPlan): number => {
   let gpu = 0;
-  term.plans.forEach((plan) => {
-    if (plan.priority !== 0 || isJobEnded(plan.state)) return;
-    plan.occurrences.forEach(({ steps }) =>
-      steps.forEach(({ tasks, step, remaining }) => {
-        if (remaining > 0 && step.after.length === 0) gpu += tasks.length * step.need.gpu;
-      }),
-    );
-  });
+  occurrences.forEach(({ steps }) =>
+    steps.forEach(({ tasks, step, remaining }) => {
+      if (remaining > 0 && step.after.length === 0) gpu += tasks.length * step.need.gpu;
+    }),
+  );
   return gpu;
 };
 
-/** Epoch milliseconds at which the newest urgent job was accepted. */
-const findNewest = (term: Term): number => {
-  let newest = 0;
-  term.plans.forEach(({ priority, submission }) => {
-    if (priority === 0) newest = Math.max(newest, submission.acceptedAt);
+/** Accelerators that urgent work needs, and the epoch milliseconds at which the newest was accepted. */
+const measureDemand = (term: Term): { gpu: number; newest: number } => {
+  const demand = { gpu: 0, newest: 0 };
+  term.plans.forEach((plan) => {
+    if (plan.priority !== 0) return;
+    demand.newest = Math.max(demand.newest, plan.submission.acceptedAt);
+    if (!isJobEnded(plan.state)) demand.gpu += countGpuWanted(plan);
   });
-  return newest;
+  return demand;
 };
 
 const noteDemand = (term: Term, now: Now): number => {
   const { urgentDemand } = term;
   const faded = urgentDemand.gpu * Math.exp((urgentDemand.at - now.at) / memoryMs);
-  urgentDemand.gpu = Math.max(faded, countDemand(term));
+  const { gpu, newest } = measureDemand(term);
+  urgentDemand.gpu = Math.max(faded, gpu);
   urgentDemand.at = now.at;
-  const newest = findNewest(term);
   if (newest > urgentDemand.newest) {
     urgentDemand.newest = newest;
     urgentDemand.newestAt = now.at;
--- a/src/control/placement/placeWaiting.ts
+++ b/src/control/placement/placeWaiting.ts
@@ -10,6 +10,7 @@
 import { keepForUrgent } from './keepForUrgent.js';
 import { listCandidates } from './listCandidates.js';
 import { listGuaranteed } from './listGuaranteed.js';
+import { noResources } from './noResources.js';
 import type { Pass } from './Pass.js';
 import { logWait } from './logWait.js';
 import { placeGang } from './placeGang.js';
@@ -23,11 +24,9 @@
 // Urgent work comes several times as often while there is any.
 const quietMs = 3000;
 
-const nothing = { cpu: 0, memMb: 0, gpu: 0 };
-
 const measureUse = (term: Term): Pick<Pass, 'usedGpu' | 'wholeGpu' | 'mostFreeGpu' | 'isRoomy'> => {
-  let used: Resources = nothing;
-  let whole: Resources = nothing;
+  let used: Resources = noResources;
+  let whole: Resources = noResources;
   let mostFreeGpu = 0;
   term.workers.forEach((worker) => {
     if (!worker.entry) return;
--- a/src/control/placement/reclaimRoom.ts
+++ b/src/control/placement/reclaimRoom.ts
@@ -6,12 +6,11 @@
 import { addResources } from './addResources.js';
 import { chooseReclaim } from './chooseReclaim.js';
 import { coresPerGpu } from './coresPerGpu.js';
+import { noResources } from './noResources.js';
 import type { Reclaim } from './Reclaim.js';
 import type { ReclaimRequest } from './ReclaimRequest.js';
 import type { Unit } from './Unit.js';
 
-const nothing = { cpu: 0, memMb: 0, gpu: 0 };
-
 // Room often comes free by itself in this time; a guarantee allows some more.
 const patienceMs = 900;
 // Less work than the room can do in this time is thrown away at once.
@@ -36,7 +35,7 @@
   const { need } = unit.tasks[0]!;
   if (!isWorthwhile(unit, plan, now)) return [];
   plan.places.forEach((worker) => {
-    pass.held.set(worker.id, addResources(pass.held.get(worker.id) ?? nothing, need));
+    pass.held.set(worker.id, addResources(pass.held.get(worker.id) ?? noResources, need));
   });
   return plan.victims.flatMap(({ task, step }) =>
     step.step.gang
--- a/src/control/workers/Worker.ts
+++ b/src/control/workers/Worker.ts
@@ -16,14 +16,12 @@
   address: string;
   /** Start of the life that answered last, or 0. */
   born: number;
-  /** Its clock in its last answer, and this VM's monotonic time then. */
+  /** Its clock in its last listing, and this VM's monotonic time when that was taken over. */
   clock: { value: number; at: number } | null;
   /** Latest lease end that it may have been given, in its clock's time. */
   leaseUntil: number;
-  /** Monotonic time at which it gave its last listing. */
+  /** Monotonic time at which it gave its last listing; before `clock.at`, if this VM was suspended. */
   lastListedAt: number;
-  /** Monotonic time at which that was taken over; later, if this VM was suspended in between. */
-  lastAnswerAt: number;
   /** Monotonic time at which the open look was sent, or null. */
   holdSentAt: number | null;
   /** Monotonic time of the next look. */
--- a/src/control/workers/applyListing.ts
+++ b/src/control/workers/applyListing.ts
@@ -104,7 +104,6 @@
   worker.born = listing.born;
   const seen = computeSighting(worker, listing.clock, sentAt, now);
   worker.lastListedAt = seen.at;
-  worker.lastAnswerAt = now.at;
   // Whoever renewed before, no lease lasts longer than this.
   if (!worker.clock) worker.leaseUntil = Math.max(worker.leaseUntil, listing.clock + maxLeaseMs);
   worker.clock = { value: Math.max(listing.clock, getEarliestClock(worker, now)), at: now.at };
--- a/src/control/workers/getWorker.ts
+++ b/src/control/workers/getWorker.ts
@@ -13,7 +13,6 @@
   clock: null,
   leaseUntil: 0,
   lastListedAt: Number.NEGATIVE_INFINITY,
-  lastAnswerAt: Number.NEGATIVE_INFINITY,
   holdSentAt: null,
   nextHoldAt: now.at,
   failures: 0,
--- a/src/control/workers/isUsable.ts
+++ b/src/control/workers/isUsable.ts
@@ -11,5 +11,5 @@
   worker.clock !== null &&
   worker.strangers.size === 0 &&
   worker.failures === 0 &&
-  now.at - worker.lastAnswerAt <= freshMs &&
+  now.at - worker.clock.at <= freshMs &&
   now.at >= worker.asideUntil;
--- a/test/control/world/createOffice.ts
+++ b/test/control/world/createOffice.ts
@@ -127,9 +127,7 @@
   // Behind a cut nobody has asked it for a while.
   settleWorker(office, worker);
   worker.up = false;
-  [...worker.running.values()]
-    .filter(({ endedAt }) => endedAt === null)
-    .forEach((run) => endRun(office, run, 'gone'));
+  [...worker.running.values()].forEach((run) => endRun(office, run, 'gone'));
 };
 
 interface OfficeOptions {
--- a/test/control/world/endRun.ts
+++ b/test/control/world/endRun.ts
@@ -7,6 +7,7 @@
  * it: done together, or broken off.
  */
 export const endRun = (office: Office, run: FakeRun, kind: FakeRun['kind']): void => {
+  if (run.endedAt !== null) return;
   const worker = office.workers.get(run.workerId)!;
   worker.running.delete(run.task);
   run.endedAt = office.now;
@@ -20,7 +21,5 @@
   waiters.forEach((answer) => answer());
   if (!run.gang || run.gang.over) return;
   run.gang.over = true;
-  run.gang.members
-    .filter(({ endedAt }) => endedAt === null)
-    .forEach((member) => endRun(office, member, kind === 'done' ? 'done' : 'broken'));
+  run.gang.members.forEach((member) => endRun(office, member, kind === 'done' ? 'done' : 'broken'));
 };
--- a/test/control/world/findBrokenJobs.ts
+++ b/test/control/world/findBrokenJobs.ts
@@ -1,3 +1,4 @@
+import { listBeside } from '../../../tools/soak/listBeside.js';
 import { epochWall } from './epochWall.js';
 import type { FakeRun } from './FakeRun.js';
 import { findStep } from './findStep.js';
@@ -53,16 +54,8 @@
   },
   'after its last attempt': (office, run, origin) =>
     !origin.step.longRunning && countFailures(office, run, origin) >= maxAttempts,
-  'beside too many of its step': (office, run, { step }) => {
-    if (step.maxPerWorker === 0) return false;
-    const together = listSiblings(office, run).filter(
-      (other) =>
-        other.workerId === run.workerId &&
-        other.startedAt <= run.startedAt &&
-        (other.endedAt ?? Number.POSITIVE_INFINITY) > run.startedAt,
-    );
-    return together.length > step.maxPerWorker;
-  },
+  'beside too many of its step': (office, run, { step }) =>
+    step.maxPerWorker > 0 && listBeside(listSiblings(office, run), run).length > step.maxPerWorker,
   'on a worker without its label': (office, run, { step }) =>
     step.requiredLabel !== '' &&
     !office.workers.get(run.workerId)!.entry.labels.includes(step.requiredLabel),
--- a/test/control/world/findBrokenRules.ts
+++ b/test/control/world/findBrokenRules.ts
@@ -1,3 +1,5 @@
+import { isBinding } from '../../../tools/soak/isBinding.js';
+import { listBeside } from '../../../tools/soak/listBeside.js';
 import type { FakeRun } from './FakeRun.js';
 import { findStep } from './findStep.js';
 import type { Office } from './Office.js';
@@ -17,8 +19,6 @@
       ),
   );
 
-const isBinding = (run: FakeRun): boolean => run.kind === 'done' && run.noted && !run.lapsedSince;
-
 const findAfterDone = (office: Office, runs: readonly FakeRun[]): string[] =>
   runs
     // A task that lasts is started again however it ends.
@@ -31,12 +31,7 @@
 
 const findOverfull = (office: Office): string[] =>
   office.runs.flatMap((run) => {
-    const together = office.runs.filter(
-      (other) =>
-        other.workerId === run.workerId &&
-        other.startedAt <= run.startedAt &&
-        (other.endedAt ?? Number.POSITIVE_INFINITY) > run.startedAt,
-    );
+    const together = listBeside(office.runs, run);
     const capacity = office.workers.get(run.workerId)!.entry.capacity.gpu;
     const used = together.reduce((sum, { task }) => sum + findGpu(office, task), 0);
     return used > capacity ? [`${run.workerId} is overfull: ${used} of ${capacity}`] : [];
--- a/test/control/world/serveWorker.ts
+++ b/test/control/world/serveWorker.ts
@@ -62,7 +62,6 @@
   worker.running.set(call.task, run);
   office.runs.push(run);
   beginGang(office, run);
-  planSettle(office, worker, Math.min(run.workMs, run.dueAt));
   return { type: 'done', clock };
 };
 
--- a/test/control/world/settleWorker.ts
+++ b/test/control/world/settleWorker.ts
@@ -22,7 +22,7 @@
     const lapsesAt = worker.leaseUntil + worker.bootAt;
     const endsAt = Math.min(run.dueAt, lapsesAt);
     const hangs = endsAt !== lapsesAt && isHanging(office, worker, run);
-    if (run.endedAt !== null || office.now < endsAt || hangs) return;
+    if (office.now < endsAt || hangs) return;
     const { now } = office;
     office.now = endsAt;
     endRun(office, run, lapsesAt < run.dueAt ? 'lapsed' : chooseKind(worker, run));
--- a/test/e2e/nodeSettings.test.ts
+++ b/test/e2e/nodeSettings.test.ts
@@ -6,7 +6,7 @@
 import type { ManagedProcess } from '../../tools/office/ManagedProcess.js';
 import { startProcess } from '../../tools/office/startProcess.js';
 import { stopProcess } from '../../tools/office/stopProcess.js';
-import { waitMs } from '../../tools/office/waitMs.js';
+import { waitUntil } from '../../tools/office/waitUntil.js';
 import { formatSettings } from '../../tools/soak/formatSettings.js';
 
 const waitForMs = 8000;
@@ -16,16 +16,10 @@
 let node: ManagedProcess;
 let settings: string;
 
-const waitForLine = async (code: string): Promise<string> => {
-  const until = performance.now() + waitForMs;
-  while (performance.now() < until) {
-    const line = node.lines.findLast((text) => text.includes(`"code":"${code}"`));
-    if (line !== undefined) return line;
-    // eslint-disable-next-line no-await-in-loop -- the pause before the next look.
-    await waitMs(50);
-  }
-  return '';
-};
+const waitForLine = (code: string): Promise<string> =>
+  waitUntil(code, waitForMs, () =>
+    node.lines.findLast((text) => text.includes(`"code":"${code}"`)),
+  );
 
 beforeAll(async () => {
   const [frontPort, readinessPort, storePort, metricsPort] = await findFreePorts(4);
--- /dev/null
+++ b/tools/day/collectRuns.ts
@@ -0,0 +1,35 @@
+import type { LogLine } from './LogLine.js';
+import type { RunSpan } from './RunSpan.js';
+
+const getRun = ({ fields }: LogLine): string => `${String(fields.task)}/${String(fields.run)}`;
+
+/** Ends a run; the first line about its end counts. */
+const endRun = (runs: Map<string, RunSpan>, line: LogLine, lostTo: string | null): void => {
+  const run = runs.get(getRun(line));
+  if (!run || run.until !== Number.POSITIVE_INFINITY) return;
+  run.until = line.at;
+  run.lostTo = lostTo;
+};
+
+/** What each line tells of a run. */
+const handlers: Record<string, (runs: Map<string, RunSpan>, line: LogLine) => void> = {
+  run_starting: (runs, line) => {
+    runs.set(getRun(line), {
+      requestId: String(line.fields.requestId),
+      from: line.at,
+      until: Number.POSITIVE_INFINITY,
+      gpu: Number(line.fields.gpu ?? 0),
+      lostTo: null,
+    });
+  },
+  run_stopping: (runs, line) => endRun(runs, line, String(line.fields.reason)),
+  run_over: (runs, line) => endRun(runs, line, String(line.fields.cause)),
+  task_done: (runs, line) => endRun(runs, line, null),
+};
+
+/** Follows each run from its start to its end. */
+export const collectRuns = (lines: readonly LogLine[]): RunSpan[] => {
+  const runs = new Map<string, RunSpan>();
+  lines.forEach((line) => handlers[line.code]?.(runs, line));
+  return [...runs.values()];
+};
--- a/tools/day/collectTraces.ts
+++ b/tools/day/collectTraces.ts
@@ -1,19 +1,8 @@
+import { collectRuns } from './collectRuns.js';
 import type { JobTrace } from './JobTrace.js';
 import type { LogLine } from './LogLine.js';
 
-type Handler = (job: JobTrace, line: LogLine, runs: Map<string, number>) => void;
-
-const getRun = ({ fields }: LogLine): string => `${String(fields.task)}/${String(fields.run)}`;
-
-/** A run that ends before its task is done; the first line about it counts. */
-const noteLost =
-  (causeField: 'reason' | 'cause'): Handler =>
-  (job, line, runs) => {
-    const startedAt = runs.get(getRun(line));
-    if (startedAt === undefined) return;
-    runs.delete(getRun(line));
-    job.lost.push({ cause: String(line.fields[causeField]), ranMs: line.at - startedAt });
-  };
+type Handler = (job: JobTrace, line: LogLine) => void;
 
 /** What each line tells of its job. */
 const handlers: Record<string, Handler> = {
@@ -28,12 +17,9 @@
   step_waiting: (job, { fields }) => {
     job.waitedGuaranteed ??= fields.guaranteed === true;
   },
-  run_starting: (job, line, runs) => {
-    job.firstStartAt ??= line.at;
-    runs.set(getRun(line), line.at);
+  run_starting: (job, { at }) => {
+    job.firstStartAt ??= at;
   },
-  run_stopping: noteLost('reason'),
-  run_over: noteLost('cause'),
   job_ended: (job, { at, fields }) => {
     job.endedAt ??= at;
     job.outcome ??= String(fields.outcome);
@@ -44,7 +30,6 @@
 /** Follows each job through the lines. */
 export const collectTraces = (lines: readonly LogLine[]): JobTrace[] => {
   const jobs = new Map<string, JobTrace>();
-  const runs = new Map<string, number>();
   lines.forEach((line) => {
     const handler = handlers[line.code];
     const id = line.fields.requestId;
@@ -63,7 +48,10 @@
       lost: [],
     };
     jobs.set(id, job);
-    handler(job, line, runs);
+    handler(job, line);
+  });
+  collectRuns(lines).forEach(({ requestId, from, until, lostTo }) => {
+    if (lostTo !== null) jobs.get(requestId)?.lost.push({ cause: lostTo, ranMs: until - from });
   });
   return [...jobs.values()];
 };
--- a/tools/soak/findBrokenPromises.ts
+++ b/tools/soak/findBrokenPromises.ts
@@ -1,8 +1,10 @@
 import { buildInvoice } from '../../src/control/report/buildInvoice.js';
 import { readStore } from '../../platform/readStore.js';
+import { isBinding } from './isBinding.js';
 import type { JournalRun } from './JournalRun.js';
 import { readJournal } from './readJournal.js';
 import { findUnfinished } from './findUnfinished.js';
+import { listBeside } from './listBeside.js';
 import type { SentJob } from './SentJob.js';
 import type { Soak } from './Soak.js';
 
@@ -10,9 +12,6 @@
 
 const getEnd = ({ endedAt }: JournalRun): number => endedAt ?? Number.POSITIVE_INFINITY;
 
-const isBinding = ({ kind, noted, lapsedSince }: JournalRun): boolean =>
-  kind === 'done' && noted && !lapsedSince;
-
 const findTwice = (runs: readonly JournalRun[]): string[] =>
   runs.flatMap((run, index) =>
     runs
@@ -29,10 +28,7 @@
 
 const findOverfull = (runs: readonly JournalRun[]): string[] =>
   runs.flatMap((run) => {
-    const used = runs
-      .filter(({ workerId }) => workerId === run.workerId)
-      .filter((other) => other.startedAt <= run.startedAt && getEnd(other) > run.startedAt)
-      .reduce((sum, { gpu }) => sum + gpu, 0);
+    const used = listBeside(runs, run).reduce((sum, { gpu }) => sum + gpu, 0);
     return used > acceleratorsPerWorker ? [`${run.workerId} had ${used} accelerators in use`] : [];
   });
 
