Count silence only while the loop is responsive

Cause: each call had an abort timer. After a long turn, expired timers run before the sockets are read, so a busy leader gave up calls whose answers lay unread, closed their connections and stopped what it had started; that made it busier.

Change: a loop clock stands still during long turns and pauses. A stall is judged at the time at which the worker sent its listing, not at which it was read. An error in a handler or an effect is logged, ends a term that may be damaged and reads the streams again, instead of ending the process; a record that no handler can apply is passed over.

--- a/src/adapters/loop/createEventLoop.ts
+++ b/src/adapters/loop/createEventLoop.ts
@@ -1,23 +1,54 @@
 import { performance } from 'node:perf_hooks';
 import type { EventLoop } from './EventLoop.js';
 
+interface EventTimes {
+  at: number;
+  wall: number;
+  responsiveAt: number;
+}
+
+interface EventLoopOptions {
+  /** Reads the time for which the process has been responsive; the monotonic time by default. */
+  readResponsiveAt?: () => number;
+  /** Takes what a reducer or an effect runner throws; without it, the error is thrown on. */
+  onError?: (error: unknown, type: string) => void;
+}
+
 /**
- * Creates the event loop of a daemon around its reducer. An event gets its timestamp when it is
+ * Creates the event loop of a daemon around its reducer. An event gets its timestamps when it is
  * taken from the queue, so that after a pause of the process, queued events are handled with the
  * current time.
  */
-export const createEventLoop = <TEvent extends object, TEffect extends { type: string }>(
-  reduce: (event: TEvent & { at: number; wall: number }) => TEffect[],
+export const createEventLoop = <TEvent extends { type: string }, TEffect extends { type: string }>(
+  reduce: (event: TEvent & EventTimes) => TEffect[],
+  { readResponsiveAt = () => performance.now(), onError }: EventLoopOptions = {},
 ): EventLoop<TEvent, TEffect> => {
   const queue: TEvent[] = [];
   const runners = new Map<string, (effect: TEffect) => void>();
   let isDraining = false;
-  const runEffect = (effect: TEffect): void => runners.get(effect.type)?.(effect);
+  const guard = <T>(type: string, run: () => T): T | undefined => {
+    try {
+      return run();
+    } catch (error) {
+      if (!onError) throw error;
+      onError(error, type);
+      return undefined;
+    }
+  };
+  const runEffect = (effect: TEffect): void => {
+    guard(effect.type, () => runners.get(effect.type)?.(effect));
+  };
+  const readTimes = (): EventTimes => ({
+    at: performance.now(),
+    wall: Date.now(),
+    responsiveAt: readResponsiveAt(),
+  });
   const drain = (): void => {
     isDraining = true;
     try {
       for (let event = queue.shift(); event; event = queue.shift()) {
-        reduce({ ...event, at: performance.now(), wall: Date.now() }).forEach(runEffect);
+        const timedEvent = { ...event, ...readTimes() };
+        guard(event.type, () => reduce(timedEvent))?.forEach(runEffect);
       }
     } finally {
       isDraining = false;
--- a/src/control/Now.ts
+++ b/src/control/Now.ts
@@ -4,4 +4,6 @@
   at: number;
   /** Epoch milliseconds. */
   wall: number;
+  /** Milliseconds for which this process was responsive; used to judge the silence of others. */
+  responsiveAt: number;
 }
--- a/src/control/UntimedEvent.ts
+++ b/src/control/UntimedEvent.ts
@@ -1,6 +1,6 @@
 import type { Event } from './Event.js';
 
-type WithoutTime<T> = T extends unknown ? Omit<T, 'at' | 'wall'> : never;
+type WithoutTime<T> = T extends unknown ? Omit<T, 'at' | 'wall' | 'responsiveAt'> : never;
 
 /** An event before the event loop adds the time. */
 export type UntimedEvent = WithoutTime<Event>;
--- a/src/control/createState.ts
+++ b/src/control/createState.ts
@@ -12,6 +12,7 @@
   nextReadAt: 0,
   failedReads: 0,
   lastSuccessAt: Number.NEGATIVE_INFINITY,
+  lastHeardAt: Number.NEGATIVE_INFINITY,
 });
 
 /** Creates the initial state of a daemon, before any stream is read. */
--- a/src/control/journal/applyStatus.ts
+++ b/src/control/journal/applyStatus.ts
@@ -7,7 +7,7 @@
 /** Applies a newer published state of a job; the record also shows that the leader is active. */
 export const applyStatus = (state: State, record: RecordOf<'status'>, now: Now): Effect[] => {
   const job = getOrCreateJob(state, record.id);
-  state.leader.lastSeenAt = now.at;
+  state.leader.lastSeenAt = now.responsiveAt;
   if (record.offset <= job.statusOffset) return [];
   job.state = record.state;
   job.endedAt = record.endedAt;
--- a/src/control/lead/LeaderView.ts
+++ b/src/control/lead/LeaderView.ts
@@ -5,7 +5,7 @@
   /** VM that holds the token, or empty. */
   vmId: string;
   /**
-   * Monotonic time from which the leader's silence counts: its last record, or a later time at which it
+   * Responsive time from which the leader's silence counts: its last record, or a later time at which it
    * may have been unable to write; null before the first check.
    */
   lastSeenAt: number | null;
--- a/src/control/lead/applyLeaderRecord.ts
+++ b/src/control/lead/applyLeaderRecord.ts
@@ -12,7 +12,7 @@
   leader.token = record.token;
   leader.vmId = record.vmId;
   leader.resigned = record.resigned;
-  leader.lastSeenAt = now.at;
+  leader.lastSeenAt = now.responsiveAt;
   const effects: Effect[] = [];
   if (isNewTerm) {
     const fields = { token: record.token, lead: record.vmId };
--- a/src/control/lead/electionHandlers.ts
+++ b/src/control/lead/electionHandlers.ts
@@ -25,8 +25,8 @@
   if (isOwnFormerIncarnation(state)) return true;
   // The silence counts from the first check at the earliest, so that an existing leader gets time for a
   // heartbeat and, if there is no leader yet, VMs with more CPU claim first.
-  leader.lastSeenAt ??= now.at;
-  const silenceMs = now.at - leader.lastSeenAt;
+  leader.lastSeenAt ??= now.responsiveAt;
+  const silenceMs = now.responsiveAt - leader.lastSeenAt;
   const claimDelayMs = computeClaimDelaySteps(state) * claimDelayStepMs;
   return silenceMs >= (leader.resigned || leader.token === 0 ? 0 : leaderTimeoutMs) + claimDelayMs;
 };
@@ -70,7 +70,7 @@
   const fields = {
     formerLead: state.leader.vmId,
     token: state.leader.token,
-    silentMs: Math.round(Math.min(now.at - (state.leader.lastSeenAt ?? now.at), 1e9)),
+    silentMs: Math.round(now.responsiveAt - (state.leader.lastSeenAt ?? now.responsiveAt)),
     resigned: state.leader.resigned,
   };
   return [{ type: 'log', level: 'info', code: 'lead_silent', fields }, ...readClaims(state)];
@@ -93,7 +93,7 @@
       state.leader.token = token;
       state.leader.vmId = newestClaim.vmId;
       state.leader.resigned = false;
-      state.leader.lastSeenAt = event.at;
+      state.leader.lastSeenAt = event.responsiveAt;
       return finishElection(state, event, lostClaimBackoffMs);
     }
   }
--- a/src/control/lead/termHandlers.ts
+++ b/src/control/lead/termHandlers.ts
@@ -1,6 +1,8 @@
 import type { Effect } from '../Effect.js';
+import type { EventOf } from '../EventOf.js';
 import type { HandlerTable } from '../HandlerTable.js';
 import type { Now } from '../Now.js';
+import { endTerm } from './endTerm.js';
 import { checkRuns } from '../runs/checkRuns.js';
 import type { State } from '../State.js';
 
@@ -15,5 +17,14 @@
   return checkRuns(state, term, now);
 };
 
-/** Check the timeouts of a term and start periodic placement passes. */
-export const termHandlers: HandlerTable = { tick: tickTerm };
+/**
+ * After a failed handler, the state of the term may be half updated, so it ends; the next leader, maybe
+ * this VM, builds its own from the store.
+ */
+const endDamagedTerm = (state: State, event: EventOf<'handlerFailed'>): Effect[] => [
+  { type: 'count', name: 'handler_failures', reason: event.failedType },
+  ...endTerm(state, 'internal-error', event),
+];
+
+/** Check the timeouts of a term, start periodic placement passes and end a term that may be damaged. */
+export const termHandlers: HandlerTable = { tick: tickTerm, handlerFailed: endDamagedTerm };
--- a/src/control/streams/Cursor.ts
+++ b/src/control/streams/Cursor.ts
@@ -16,4 +16,6 @@
   failedReads: number;
   /** Monotonic time of the last successful read; negative infinity before the first. */
   lastSuccessAt: number;
+  /** The same in responsive time. */
+  lastHeardAt: number;
 }
--- a/src/control/streams/streamsHandlers.ts
+++ b/src/control/streams/streamsHandlers.ts
@@ -7,35 +7,55 @@
 import { openStream } from './openStream.js';
 import { sendNextRead } from './sendNextRead.js';
 import type { StreamName } from './StreamName.js';
+import type { StreamRecord } from './StreamRecord.js';
 import { streamReadSettings } from './streamReadSettings.js';
 
 // Backoff after failed reads; short at first, because most failures are isolated.
 const initialRetryMs = 50;
 const maxRetryMs = 400;
 
+type ReadType = 'pageRead' | 'streamRead';
+
 const polledStreams: readonly StreamName[] = ['config', 'journal', 'runs', 'workers'];
 
 const isPendingRead = (state: State, stream: StreamName, readId: number): boolean =>
   state.streams[stream].pendingReadId === readId;
 
-const handleReadSuccess = (
-  state: State,
-  event: EventOf<'pageRead'> | EventOf<'streamRead'>,
-  cursor: Cursor,
-): Effect[] => {
+const handleReadSuccess = (state: State, event: EventOf<ReadType>, cursor: Cursor): Effect[] => {
   cursor.pendingReadId = 0;
   cursor.lastSuccessAt = event.at;
+  cursor.lastHeardAt = event.responsiveAt;
   if (cursor.failedReads === 0) return [];
   cursor.failedReads = 0;
   // The leader may have been unable to write while the store was unavailable.
-  if (event.stream === 'journal') state.leader.lastSeenAt = event.at;
+  if (event.stream === 'journal') state.leader.lastSeenAt = event.responsiveAt;
   return [
     { type: 'log', level: 'info', code: 'stream_regained', fields: { stream: event.stream } },
   ];
 };
 
-const applyRecords = (state: State, event: EventOf<'pageRead'> | EventOf<'streamRead'>): Effect[] =>
-  event.records.flatMap((record) => applyRecord(state, record, event));
+/** Applies one record; one that no handler can apply must not stop the stream. */
+const applySafely = (state: State, record: StreamRecord, event: EventOf<ReadType>): Effect[] => {
+  try {
+    return applyRecord(state, record, event);
+  } catch (error) {
+    const fields = { stream: event.stream, offset: record.offset, reason: String(error) };
+    return [
+      { type: 'count', name: 'unreadable_records', reason: 'not-applicable' },
+      { type: 'log', level: 'error', code: 'record_not_applied', fields },
+    ];
+  }
+};
+
+const applyRecords = (state: State, event: EventOf<ReadType>): Effect[] =>
+  event.records.flatMap((record) => applySafely(state, record, event));
+
+/** Retries reads whose effect or answer may have been lost with a failed handler. */
+const retryReads = (state: State, event: EventOf<'handlerFailed'>): Effect[] =>
+  polledStreams.flatMap((stream) => {
+    state.streams[stream].pendingReadId = 0;
+    return sendNextRead(state, stream, event);
+  });
 
 const handlePageRead = (state: State, event: EventOf<'pageRead'>): Effect[] => {
   const cursor = state.streams[event.stream];
@@ -92,4 +112,5 @@
   pageRead: handlePageRead,
   streamRead: handleStreamRead,
   readFailed: handleReadFailed,
+  handlerFailed: retryReads,
 };
--- a/src/control/workers/applyListing.ts
+++ b/src/control/workers/applyListing.ts
@@ -31,7 +31,7 @@
   if (listed.checkpoint !== '') task.checkpoint = listed.checkpoint;
   if (listed.percent !== task.percent) {
     task.percent = listed.percent;
-    task.percentChangedAt = now.at;
+    task.percentChangedAt = worker.lastListedAt;
   }
   if (task.state === 'starting') markRunning(task, now);
   if (task.state === 'running') {
@@ -104,6 +104,7 @@
   worker.incarnation = listing.incarnation;
   const observation = computeEndObservation(worker, listing.clockMs, sentAt, now);
   worker.lastListedAt = observation.at;
+  worker.lastHeardAt = now.responsiveAt;
   // A former leader may have renewed the lease, but no lease lasts longer than this.
   if (!worker.clock)
     worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, listing.clockMs + maxLeaseMs);
--- a/src/control/workers/isSchedulable.ts
+++ b/src/control/workers/isSchedulable.ts
@@ -11,5 +11,5 @@
   worker.clock !== null &&
   worker.unplannedRuns.size === 0 &&
   worker.failedPolls === 0 &&
-  now.at - worker.clock.observedAt <= maxListingAgeMs &&
+  now.responsiveAt - worker.lastHeardAt <= maxListingAgeMs &&
   now.at >= worker.quarantinedUntil;
--- a/src/control/workers/isStalled.ts
+++ b/src/control/workers/isStalled.ts
@@ -1,4 +1,3 @@
-import type { Now } from '../Now.js';
 import type { StepPlan } from '../plans/StepPlan.js';
 import type { Task } from '../plans/Task.js';
 
@@ -7,12 +6,15 @@
 
 const maxPercent = 100;
 
-/** Whether a run that should make progress has shown none for a tenth of its declared time. */
-export const isStalled = (step: StepPlan, task: Task, now: Now): boolean =>
+/**
+ * Whether a run that should make progress has shown none for a tenth of its declared time, at the time
+ * at which its worker sent the listing; this VM may have handled it much later.
+ */
+export const isStalled = (step: StepPlan, task: Task, listedAt: number): boolean =>
   task.state === 'running' &&
   !step.definition.longRunning &&
   step.remaining > 0 &&
   // Reported progress is rough: a straggler shows 100 % long before it ends.
   task.percent < maxPercent &&
-  now.at - Math.max(task.stateSince, task.percentChangedAt) >
+  listedAt - Math.max(task.stateSince, task.percentChangedAt) >
     Math.max(minStallMs, step.definition.estimateMs / 10);
--- a/src/control/workers/stopStalledRuns.ts
+++ b/src/control/workers/stopStalledRuns.ts
@@ -15,7 +15,7 @@
   if (worker.failedPolls > 0) return [];
   const stalled = [...worker.tasks.values()].filter((task) => {
     const location = findTask(term, task.name);
-    return location !== null && isStalled(location.step, task, now);
+    return location !== null && isStalled(location.step, task, worker.lastListedAt);
   });
   if (stalled.length === 0) return [];
   worker.quarantinedUntil = Math.max(worker.quarantinedUntil, now.at + quarantineMs);
--- a/test/control/settings.test.ts
+++ b/test/control/settings.test.ts
@@ -8,7 +8,7 @@
 const applySettings = (next: Partial<typeof bounds>) => {
   const state = createState({ ...self }, bounds);
   const settings = { cores: 0.5, bounds: { ...bounds, ...next } };
-  reduce(state, { type: 'settingsChanged', settings, at: 10, wall: 1000 });
+  reduce(state, { type: 'settingsChanged', settings, at: 10, wall: 1000, responsiveAt: 10 });
   return state;
 };
 
--- a/test/control/simulation/FakeVm.ts
+++ b/test/control/simulation/FakeVm.ts
@@ -14,6 +14,9 @@
   partitionedFromWorkers: boolean;
   /** Time until which it is suspended; its events are delivered then. */
   pausedUntil: number;
+  /** Time for which its daemon was responsive, and the time of its last event. */
+  responsiveMs: number;
+  lastEventAt: number;
   /** Incremented at each start and end, so that answers to an earlier incarnation are dropped. */
   incarnation: number;
 }
--- a/test/control/simulation/createFakePlatform.ts
+++ b/test/control/simulation/createFakePlatform.ts
@@ -14,6 +14,8 @@
 import { advanceWorker } from './advanceWorker.js';
 
 const tickIntervalMs = 100;
+// A longer time between two events of a VM is a pause.
+const maxResponsiveStepMs = 150;
 
 const defaultMaxLeaseMs = 6000;
 const defaultCores = 0.675;
@@ -49,7 +51,10 @@
     scheduleAfter(platform, vm.pausedUntil - platform.now, () => platform.push(vm, event));
     return;
   }
-  const timed = { ...event, at: platform.now, wall: simulationStartMs + platform.now };
+  vm.responsiveMs += Math.min(platform.now - vm.lastEventAt, maxResponsiveStepMs);
+  vm.lastEventAt = platform.now;
+  const times = { at: platform.now, wall: simulationStartMs + platform.now };
+  const timed = { ...event, ...times, responsiveAt: vm.responsiveMs };
   const versionBefore = vm.state.config?.version ?? 0;
   reduce(vm.state, timed).forEach((effect) => platform.runEffect(vm, effect));
   const version = vm.state.config?.version ?? 0;
@@ -196,6 +201,8 @@
       partitionedFromStore: false,
       partitionedFromWorkers: false,
       pausedUntil: 0,
+      responsiveMs: 0,
+      lastEventAt: 0,
       incarnation: 0,
     };
     platform.vms.push(vm);
