Poll idle workers rarely and place without rebuilding lists

An idle worker was polled every 1.5 s; a poll during the append of ends listed the same ends again; calls that waited behind others on a connection timed out and closed it.

Change: idle workers are polled every 3 s without a wait and without a lease (a start brings its own); the first poll after a start answers at once. Ends that are being persisted delay the next poll until they are, 0.4 s at most. Victims of a worker and the loss of a gang are computed once per pass, a preemption plan re-plans only the workers that it affects, and workers without room are left out before anything is built. Tasks are found by position. Time before a run's start no longer counts as unobserved use. Log lines of plain values are formatted without a replacer.

Ruled out: fewer waits by holding polls for 2 s (a leaving worker could then no longer be told from a partitioned one).

--- a/src/adapters/logger/formatLogLine.ts
+++ b/src/adapters/logger/formatLogLine.ts
@@ -7,6 +7,9 @@
   return typeof value === 'bigint' ? String(value) : value;
 };
 
+/** Whether JSON can hold the value as it is. */
+const isPlain = (value: unknown): boolean => typeof value !== 'object' && typeof value !== 'bigint';
+
 /** Formats one log line; a field cannot replace the keys that identify the line. */
 export const formatLogLine = (
   source: LogSource,
@@ -22,5 +25,7 @@
     role: source.role,
     ...(requestId === undefined ? {} : { requestId }),
   };
-  return JSON.stringify({ ...fixedFields, ...fields, ...fixedFields }, toJsonValue);
+  const values = { ...fixedFields, ...fields, ...fixedFields };
+  // A replacer is called for each key, which costs several times the rest of the line.
+  return JSON.stringify(values, Object.values(fields).every(isPlain) ? undefined : toJsonValue);
 };
--- a/src/control/placement/PlacementPass.ts
+++ b/src/control/placement/PlacementPass.ts
@@ -1,5 +1,7 @@
 import type { Resources } from '../Resources.js';
+import type { StepPlan } from '../plans/StepPlan.js';
 import type { Worker } from '../workers/Worker.js';
+import type { Victim } from './Victim.js';
 
 /** Inputs and running state of one placement pass over all waiting tasks. */
 export interface PlacementPass {
@@ -17,6 +19,10 @@
   hasSpareCapacity: boolean;
   /** Whether no urgent job has arrived recently. */
   isUrgentIdle: boolean;
+  /** Runs that may be preempted, by the ID of their worker; built when first needed. */
+  victimsByWorkerId: Map<string, Victim[]>;
+  /** Work lost by stopping a gang, in core-milliseconds; computed when first needed. */
+  gangLossCoreMs: Map<StepPlan, number>;
   /** Most accelerators free on one worker before the pass; wider tasks fit only after a preemption. */
   maxFreeGpu: number;
 }
--- a/src/control/placement/chooseGangWorkers.ts
+++ b/src/control/placement/chooseGangWorkers.ts
@@ -3,6 +3,7 @@
 import { chooseWorkers } from './chooseWorkers.js';
 import { getFreeResources } from './getFreeResources.js';
 import { groupByRack } from './groupByRack.js';
+import { hasRoom } from './hasRoom.js';
 import { isStarved } from './isStarved.js';
 import type { PlacementPass } from './PlacementPass.js';
 import type { PlacementUnit } from './PlacementUnit.js';
@@ -30,7 +31,10 @@
   now: Now,
 ): Worker[] | null => {
   const count = unit.tasks.length;
-  const rackOptions = [...groupByRack(workers).values()]
+  const { need } = unit.tasks[0]!;
+  const openWorkers = workers.filter((worker) => hasRoom(pass, worker, need));
+  if (openWorkers.length === 0) return null;
+  const rackOptions = [...groupByRack(openWorkers).values()]
     .map((rack) => ({ chosen: chooseWorkers(pass, unit, rack, count), rack }))
     .filter(({ chosen }) => chosen.length === count)
     .map(({ chosen, rack }) => ({
@@ -42,6 +46,6 @@
     .sort((a, b) => a.maxLogSlowdown - b.maxLogSlowdown || a.freeGpu - b.freeGpu);
   if (rackOptions[0]) return rackOptions[0].chosen;
   if (unit.step.definition.sameRack && !mayCrossRacks(pass, unit, now)) return null;
-  const chosen = chooseWorkers(pass, unit, workers, count);
+  const chosen = chooseWorkers(pass, unit, openWorkers, count);
   return chosen.length === count ? chosen : null;
 };
--- a/src/control/placement/chooseWorkers.ts
+++ b/src/control/placement/chooseWorkers.ts
@@ -1,6 +1,7 @@
 import { addResources } from './addResources.js';
 import { countStepTasks } from './countStepTasks.js';
 import { getFreeResources } from './getFreeResources.js';
+import { hasRoom } from './hasRoom.js';
 import { isFitting } from './isFitting.js';
 import type { PlacementPass } from './PlacementPass.js';
 import type { PlacementUnit } from './PlacementUnit.js';
@@ -65,7 +66,9 @@
 ): Worker[] => {
   const task = unit.tasks[0]!;
   const { maxPerWorker } = unit.step.definition;
-  const candidates = workers.map((worker) => buildCandidate(pass, unit, worker));
+  const candidates = workers
+    .filter((worker) => hasRoom(pass, worker, task.need))
+    .map((worker) => buildCandidate(pass, unit, worker));
   candidates.sort(unit.plan.priority === 0 ? compareFastestFirst : compareFullestFirst(pass));
   const chosen: Worker[] = [];
   candidates.forEach((candidate) => {
--- a/src/control/placement/planPreemption.ts
+++ b/src/control/placement/planPreemption.ts
@@ -42,7 +42,7 @@
   let free = computeExpectedFree(search, worker);
   const choice: WorkerChoice = { worker, victims: [], lostCoreMs: 0 };
   if (isFitting(need, free)) return choice;
-  for (const victim of listVictims(search.term, search.guaranteedJobIds, worker, search.now)) {
+  for (const victim of listVictims(search, worker)) {
     if (search.preemptedTasks.has(victim.task)) continue;
     choice.victims.push(victim);
     choice.lostCoreMs += victim.lostCoreMs;
@@ -56,10 +56,24 @@
 const listStoppedTogether = (step: StepPlan, task: Task): Task[] =>
   step.definition.gang ? step.tasks : [task];
 
+/** Workers whose choices change when these runs are stopped. */
+const listAffectedIds = (choice: WorkerChoice, stopped: readonly Task[]): Set<string> =>
+  new Set([choice.worker.id, ...stopped.map(({ workerId }) => workerId)]);
+
+const findCheapest = (choices: Map<string, WorkerChoice>): WorkerChoice | null => {
+  let cheapest: WorkerChoice | null = null;
+  for (const choice of choices.values()) {
+    if (!cheapest || choice.lostCoreMs < cheapest.lostCoreMs) cheapest = choice;
+    if (cheapest.lostCoreMs === 0) break;
+  }
+  return cheapest;
+};
+
 /**
  * Plans a preemption that fits all tasks of a guaranteed unit onto the workers. Greedily picks the
- * worker with the least lost work for each task. Returns null if the unit does not fit even with every
- * run outside the guarantees stopped.
+ * worker with the least lost work for each task, and plans anew only for the workers on which that
+ * changes something. Returns null if the unit does not fit even with every run outside the guarantees
+ * stopped.
  */
 export const planPreemption = (
   request: PreemptionRequest,
@@ -70,20 +84,26 @@
     preemptedTasks: new Set(),
     assignedCounts: new Map(),
   };
+  const workersById = new Map(workers.map((worker) => [worker.id, worker]));
+  const choices = new Map<string, WorkerChoice>();
+  const updateChoice = (id: string): void => {
+    const worker = workersById.get(id);
+    const choice = worker ? planWorkerPreemption(search, worker) : null;
+    if (choice) choices.set(id, choice);
+    else choices.delete(id);
+  };
+  workersById.forEach((_worker, id) => updateChoice(id));
   const plan: PreemptionPlan = { taskWorkers: [], victims: [], lostCoreMs: 0 };
   while (plan.taskWorkers.length < request.unit.tasks.length) {
-    const choices = workers
-      .map((worker) => planWorkerPreemption(search, worker))
-      .filter((choice) => choice !== null);
-    const best = choices.sort((a, b) => a.lostCoreMs - b.lostCoreMs)[0];
+    const best = findCheapest(choices);
     if (!best) return null;
     plan.taskWorkers.push(best.worker);
     plan.victims.push(...best.victims);
     plan.lostCoreMs += best.lostCoreMs;
     search.assignedCounts.set(best.worker.id, (search.assignedCounts.get(best.worker.id) ?? 0) + 1);
-    best.victims.forEach(({ step, task }) =>
-      listStoppedTogether(step, task).forEach((member) => search.preemptedTasks.add(member)),
-    );
+    const stopped = best.victims.flatMap(({ step, task }) => listStoppedTogether(step, task));
+    stopped.forEach((task) => search.preemptedTasks.add(task));
+    listAffectedIds(best, stopped).forEach(updateChoice);
   }
   return plan;
 };
--- a/src/control/placement/runPlacementPass.ts
+++ b/src/control/placement/runPlacementPass.ts
@@ -55,6 +55,8 @@
   return {
     workersByService,
     reservedResources: new Map(),
+    victimsByWorkerId: new Map(),
+    gangLossCoreMs: new Map(),
     urgentWorkerIds: reserveForUrgent(state, term, workersByService, now),
     isUrgentIdle: now.at - term.urgentDemand.newestObservedAt > urgentIdleMs,
     ...measureUtilization(term),
--- a/src/control/plans/findTask.ts
+++ b/src/control/plans/findTask.ts
@@ -1,22 +1,14 @@
 import type { Term } from '../lead/Term.js';
-import type { JobPlan } from './JobPlan.js';
-import type { OccurrencePlan } from './OccurrencePlan.js';
-import type { StepPlan } from './StepPlan.js';
 import type { Task } from './Task.js';
+import type { TaskLocation } from './TaskLocation.js';
 
-interface TaskLocation {
-  plan: JobPlan;
-  occurrence: OccurrencePlan;
-  step: StepPlan;
-  task: Task;
-}
+type TaskPosition = Pick<Task, 'jobId' | 'occurrence' | 'step' | 'index'>;
 
-/** Finds a task by the name that workers use; null if its occurrence is finished or unknown. */
-export const findTask = (term: Term, name: string): TaskLocation | null => {
-  const [jobId = '', occurrenceText, stepText, indexText] = name.split('.');
-  const plan = term.plans.get(jobId);
-  const occurrence = plan?.occurrences.get(Number(occurrenceText));
-  const step = occurrence?.steps[Number(stepText)];
-  const task = step?.tasks[Number(indexText)];
+/** Finds a task by its position; null if its occurrence is finished or unknown. */
+export const findTask = (term: Term, position: TaskPosition): TaskLocation | null => {
+  const plan = term.plans.get(position.jobId);
+  const occurrence = plan?.occurrences.get(position.occurrence);
+  const step = occurrence?.steps[position.step];
+  const task = step?.tasks[position.index];
   return plan && occurrence && step && task ? { plan, occurrence, step, task } : null;
 };
--- a/src/control/runs/applyRunEnd.ts
+++ b/src/control/runs/applyRunEnd.ts
@@ -2,6 +2,7 @@
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
 import { findTask } from '../plans/findTask.js';
+import { findTaskByName } from '../plans/findTaskByName.js';
 import type { Task } from '../plans/Task.js';
 import { recordUsage } from '../usage/recordUsage.js';
 import type { EndObservation } from '../usage/EndObservation.js';
@@ -13,7 +14,7 @@
 const updateCheckpoint = (term: Term, task: Task, checkpoint: string): void => {
   if (checkpoint === '') return;
   task.checkpoint = checkpoint;
-  const location = findTask(term, task.name);
+  const location = findTask(term, task);
   if (location?.step.definition.gang) location.step.checkpoint = checkpoint;
 };
 
@@ -33,7 +34,7 @@
   }
   // An earlier run that was given up as lost did finish, and its result counts. Long-running tasks
   // have no result.
-  const location = end.kind === 'done' ? findTask(term, end.task) : null;
+  const location = end.kind === 'done' ? findTaskByName(term, end.task) : null;
   if (!location || location.step.definition.longRunning || location.task.run < end.run) return [];
   return handleRunDone(term, worker, location.task, now);
 };
--- a/src/control/runs/checkRuns.ts
+++ b/src/control/runs/checkRuns.ts
@@ -43,5 +43,8 @@
 };
 
 /** Retries unanswered stops, and requeues runs whose worker left or whose lease expired. */
-export const checkRuns = (state: State, term: Term, now: Now): Effect[] =>
-  [...term.workers.values()].flatMap((worker) => checkWorkerRuns(state, term, worker, now));
+export const checkRuns = (state: State, term: Term, now: Now): Effect[] => {
+  const effects: Effect[] = [];
+  term.workers.forEach((worker) => effects.push(...checkWorkerRuns(state, term, worker, now)));
+  return effects;
+};
--- a/src/control/runs/handleRunDone.ts
+++ b/src/control/runs/handleRunDone.ts
@@ -20,7 +20,7 @@
  * one on its worker. Long-running tasks are requeued instead.
  */
 export const handleRunDone = (term: Term, worker: Worker, task: Task, now: Now): Effect[] => {
-  const location = findTask(term, task.name);
+  const location = findTask(term, task);
   if (location?.step.definition.longRunning) return requeueTask(term, task, 'done', now);
   const effects: Effect[] = [];
   if (task.workerId === worker.id) {
--- a/src/control/runs/handleRunFailure.ts
+++ b/src/control/runs/handleRunFailure.ts
@@ -24,7 +24,7 @@
 
 /** Handles a failed run: requeues its task, or fails the job once all attempts are used. */
 export const handleRunFailure = (term: Term, worker: Worker, task: Task, now: Now): Effect[] => {
-  const location = findTask(term, task.name);
+  const location = findTask(term, task);
   const failures = location ? countFailure(location.step, task) : 0;
   const effects: Effect[] = [
     { type: 'count', name: 'runs_ended', reason: 'failed' },
--- a/src/control/runs/requeueTask.ts
+++ b/src/control/runs/requeueTask.ts
@@ -21,8 +21,8 @@
   const worker = term.workers.get(task.workerId);
   if (worker) releaseResources(worker, task);
   if (worker && unobservedEndCauses.includes(cause)) {
-    const unobservedMs = now.at - worker.lastListedAt;
-    recordUsage(term, task, 'unknown', { at: now.at, unobservedMs }, now);
+    const unobserved = { unobservedFrom: worker.lastListedAt, unobservedTo: now.at };
+    recordUsage(term, task, 'unknown', { at: now.at, ...unobserved }, now);
   }
   task.startedAt = null;
   term.placementDue = true;
@@ -41,7 +41,7 @@
   task.stopReason = null;
   task.stopSentAt = null;
   const log: Effect = { type: 'log', level: 'info', code: 'run_over', fields };
-  const location = findTask(term, task.name);
+  const location = findTask(term, task);
   if (!location || location.step.remaining === 0 || isJobEnded(location.plan.state)) return [log];
   term.dirtyJobIds.add(task.jobId);
   location.step.readySince = now.at;
--- a/src/control/runs/sendStart.ts
+++ b/src/control/runs/sendStart.ts
@@ -13,7 +13,7 @@
 
 /** Sends the start of a task to its worker, once the start is persisted. */
 export const sendStart = (term: Term, task: Task, now: Now): Effect[] => {
-  const location = findTask(term, task.name);
+  const location = findTask(term, task);
   const worker = term.workers.get(task.workerId);
   if (!location || !worker) return requeueTask(term, task, 'job-ended', now);
   const workerClock = estimateClock(worker, now);
@@ -22,6 +22,8 @@
   }
   const expiresAt = workerClock + startValidMs;
   worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, expiresAt);
+  // The next poll extends the lease beyond that of the start.
+  worker.nextPollAt = Math.min(worker.nextPollAt, now.at);
   task.state = 'starting';
   task.stateSince = now.at;
   task.startedAt = now.at;
--- a/src/control/usage/EndObservation.ts
+++ b/src/control/usage/EndObservation.ts
@@ -2,6 +2,8 @@
 export interface EndObservation {
   /** Monotonic time at which the worker answered; a VM that was suspended handles the answer later. */
   at: number;
-  /** Time before the answer in which the worker was not polled; the run ended within it. */
-  unobservedMs: number;
+  /** Monotonic time of the worker's last answer before; until `unobservedTo` it was not polled. */
+  unobservedFrom: number;
+  /** Monotonic time at which the poll was sent that showed the end. */
+  unobservedTo: number;
 }
--- a/src/control/usage/computeEndObservation.ts
+++ b/src/control/usage/computeEndObservation.ts
@@ -12,5 +12,5 @@
 ): EndObservation => {
   const elapsedMs = clock ? (listedClock - clock.value) / minClockRate : Number.POSITIVE_INFINITY;
   const delayMs = clock ? Math.max(0, now.at - clock.observedAt - elapsedMs) : 0;
-  return { at: now.at - delayMs, unobservedMs: sentAt - lastListedAt };
+  return { at: now.at - delayMs, unobservedFrom: lastListedAt, unobservedTo: sentAt };
 };
--- a/src/control/usage/recordUsage.ts
+++ b/src/control/usage/recordUsage.ts
@@ -32,8 +32,10 @@
 ): void => {
   if (task.startedAt === null) return;
   const totalMs = Math.max(0, observation.at - task.startedAt);
-  const unobservedMs =
-    observation.unobservedMs > observationToleranceMs ? observation.unobservedMs : 0;
+  // Time before the start is no part of the run.
+  const unobservedFrom = Math.max(observation.unobservedFrom, task.startedAt);
+  const gapMs = observation.unobservedTo - unobservedFrom;
+  const unobservedMs = gapMs > observationToleranceMs ? gapMs : 0;
   const knownMs = Math.max(
     0,
     observation.at - (task.observedRunningAt ?? observation.at) - unobservedMs,
--- a/src/control/workers/applyListing.ts
+++ b/src/control/workers/applyListing.ts
@@ -44,7 +44,7 @@
 
 const collectPaceSamples = (term: Term, worker: Worker, now: Now): PaceSample[] =>
   [...worker.tasks.values()].flatMap((task) => {
-    const location = task.state === 'running' ? findTask(term, task.name) : null;
+    const location = task.state === 'running' ? findTask(term, task) : null;
     if (!location) return [];
     const { queue } = location.plan.submission;
     const sample = measurePace(worker, { queue, step: location.step, task }, now);
@@ -112,7 +112,8 @@
     value: Math.max(listing.clockMs, estimateEarliestClock(worker, now)),
     observedAt: now.at,
   };
-  if (worker.failedPolls > 0 || observation.unobservedMs > maxLeaseMs) term.placementDue = true;
+  const unobservedMs = observation.unobservedTo - observation.unobservedFrom;
+  if (worker.failedPolls > 0 || unobservedMs > maxLeaseMs) term.placementDue = true;
   worker.failedPolls = 0;
   if (acknowledgedEnd === worker.lastPersistedEnd) worker.ackDue = false;
   listing.ended
--- a/src/control/workers/handlePollAnswer.ts
+++ b/src/control/workers/handlePollAnswer.ts
@@ -1,13 +1,21 @@
 import type { Effect } from '../Effect.js';
 import { applyListing } from './applyListing.js';
 import type { AnswerHandler } from './AnswerHandler.js';
+import { idlePollIntervalMs } from './idlePollIntervalMs.js';
+import { isIdle } from './isIdle.js';
 import type { Worker } from './Worker.js';
 
 // Backoff after failed polls; short, because the runs of an unreachable worker end with its lease.
 const initialRetryMs = 100;
 const maxRetryMs = 300;
-// Delay of the next poll while run ends are being persisted; it would list the same ends again.
-const persistDelayMs = 40;
+// Longest delay of the next poll while run ends are being persisted. It would list the same ends again;
+// once they are persisted, it is sent at once.
+const maxPersistDelayMs = 400;
+
+const chooseDelayMs = (worker: Worker): number => {
+  if (isIdle(worker)) return idlePollIntervalMs;
+  return worker.lastAppliedEnd > worker.lastPersistedEnd ? maxPersistDelayMs : 0;
+};
 
 const handlePollFailure = (worker: Worker, reason: string, at: number): Effect[] => {
   worker.failedPolls += 1;
@@ -36,8 +44,7 @@
   const acknowledgedEnd = event.call.type === 'poll' ? event.call.acknowledgedEnd : 0;
   const poll = { sentAt, acknowledgedEnd };
   const effects = applyListing(term, worker, answer, poll, state.bounds.maxLeaseMs, event);
-  worker.nextPollAt =
-    event.at + (worker.lastAppliedEnd > worker.lastPersistedEnd ? persistDelayMs : 0);
+  worker.nextPollAt = event.at + chooseDelayMs(worker);
   if (!wasSilent) return effects;
   const fields = { worker: worker.id, tasks: worker.tasks.size };
   return [{ type: 'log', level: 'info', code: 'worker_regained', fields }, ...effects];
--- a/src/control/workers/handleStartAnswer.ts
+++ b/src/control/workers/handleStartAnswer.ts
@@ -22,7 +22,7 @@
     return handleRefusedStart(term, worker, task, answer.reason, event);
   // The other members of a gang wait for this one only for a limited time, so the gang restarts as a
   // whole.
-  const step = findTask(term, task.name)?.step;
+  const step = findTask(term, task)?.step;
   if (step?.definition.gang) term.incompleteGangs.add(step);
   return stopTask(term, task, 'start-unanswered', event);
 };
--- a/src/control/workers/handleWorkerRestart.ts
+++ b/src/control/workers/handleWorkerRestart.ts
@@ -27,7 +27,7 @@
     term,
     task,
     'unknown',
-    { at: now.at, unobservedMs: now.at - worker.lastListedAt },
+    { at: now.at, unobservedFrom: worker.lastListedAt, unobservedTo: now.at },
     now,
   );
 };
--- a/src/control/workers/isSchedulable.ts
+++ b/src/control/workers/isSchedulable.ts
@@ -1,8 +1,9 @@
 import type { Now } from '../Now.js';
+import { idlePollIntervalMs } from './idlePollIntervalMs.js';
 import type { Worker } from './Worker.js';
 
-// One poll with its wait and its answer, and some slack.
-const maxListingAgeMs = 2600;
+// The longest interval between two polls, and some slack for the answer.
+const maxListingAgeMs = idlePollIntervalMs + 700;
 
 /** Whether the worker can get new tasks: it is ready, answered recently and is not quarantined. */
 export const isSchedulable = (worker: Worker, now: Now): boolean =>
--- a/src/control/workers/sendDuePolls.ts
+++ b/src/control/workers/sendDuePolls.ts
@@ -11,8 +11,11 @@
   now.at >= worker.nextPollAt &&
   (worker.entry !== null || worker.tasks.size > 0);
 
-/** Polls the workers whose next poll is due. */
-export const sendDuePolls = (state: State, term: Term, now: Now): Effect[] =>
-  [...term.workers.values()]
-    .filter((worker) => isPollDue(worker, now))
-    .flatMap((worker) => sendPoll(state, term, worker, now));
+/** Polls the workers whose next poll is due; called after each event. */
+export const sendDuePolls = (state: State, term: Term, now: Now): Effect[] => {
+  const effects: Effect[] = [];
+  term.workers.forEach((worker) => {
+    if (isPollDue(worker, now)) effects.push(...sendPoll(state, term, worker, now));
+  });
+  return effects;
+};
--- a/src/control/workers/sendPoll.ts
+++ b/src/control/workers/sendPoll.ts
@@ -3,12 +3,13 @@
 import type { State } from '../State.js';
 import type { Term } from '../lead/Term.js';
 import { estimateClock } from './estimateClock.js';
+import { isIdle } from './isIdle.js';
 import type { Worker } from './Worker.js';
 
 // Outlasts a failover and most network partitions; tasks of a worker that crashed for good wait as long
 // before they are requeued.
 const targetLeaseMs = 10_000;
-// A poll is answered as soon as a run ends; the wait limits how often an idle worker is polled.
+// A poll is answered as soon as a run ends; the wait limits how often a worker without ends is polled.
 const pollWaitMs = 1500;
 const responseTimeoutMs = 700;
 
@@ -22,8 +23,9 @@
 /** Polls a worker for its running and ended runs, and renews its lease. */
 export const sendPoll = (state: State, term: Term, worker: Worker, now: Now): Effect[] => {
   const clock = estimateClock(worker, now);
-  // The lease of a silent worker is not renewed, so that it expires at a known time.
-  const renewsLease = clock !== null && worker.failedPolls === 0;
+  // The lease of a silent worker is not renewed, so that it expires at a known time. An idle worker needs
+  // none: the start of a run brings its own.
+  const renewsLease = clock !== null && worker.failedPolls === 0 && !isIdle(worker);
   const leaseMs = Math.min(targetLeaseMs, state.bounds.maxLeaseMs);
   const expiresAt = renewsLease ? clock + leaseMs : null;
   if (expiresAt !== null) worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, expiresAt);
@@ -31,9 +33,13 @@
   const acknowledgedEnd = chooseAcknowledgedEnd(worker);
   // Without a renewal, the poll is to show the worker's clock or that a partition has healed. Ends that
   // are not persisted yet are listed again at once anyway. An acknowledgement in a poll that waits could
-  // reach a new incarnation that has ended as many runs by then.
+  // reach a new incarnation that has ended as many runs by then. A worker that was idle was last listed
+  // too long ago to tell a leaving worker from a partitioned one.
   const answersAtOnce =
-    !renewsLease || worker.lastAppliedEnd > worker.lastPersistedEnd || acknowledgedEnd > 0;
+    !renewsLease ||
+    worker.lastAppliedEnd > worker.lastPersistedEnd ||
+    acknowledgedEnd > 0 ||
+    now.at - worker.lastListedAt > pollWaitMs;
   const waitMs = answersAtOnce ? 0 : pollWaitMs;
   return [
     {
--- a/src/control/workers/stopStalledRuns.ts
+++ b/src/control/workers/stopStalledRuns.ts
@@ -14,7 +14,7 @@
   // A silent worker shows no progress either; its runs are requeued when its lease expires.
   if (worker.failedPolls > 0) return [];
   const stalled = [...worker.tasks.values()].filter((task) => {
-    const location = findTask(term, task.name);
+    const location = findTask(term, task);
     return location !== null && isStalled(location.step, task, worker.lastListedAt);
   });
   if (stalled.length === 0) return [];
