--- a/tools/soak/startSoak.ts
+++ b/tools/soak/startSoak.ts
@@ -6,6 +6,7 @@
 import { startProcess } from '../cluster/startProcess.js';
 import { waitMs } from '../cluster/waitMs.js';
 import { formatSettings } from './formatSettings.js';
+import { publishOddEntries } from './publishOddEntries.js';
 import { publishRecord } from './publishRecord.js';
 import { publishWorkerEntry } from './publishWorkerEntry.js';
 import type { Soak } from './Soak.js';
@@ -98,6 +99,7 @@
   };
   await publishRecord(storePort, 'keyed.op', 'config', config);
   await Promise.all(soak.workers.map((worker) => publishWorkerEntry(soak, worker, 'ready')));
+  await publishOddEntries(storePort);
   soak.nodes = Array.from({ length: nodes }, (_, index) =>
     createNode(index, folder, ports, storePort),
   );
