Share the operator's configuration of soak and load tool

Cause: the load tool repeated the soak's configuration, and took the first of the free ports for a range, which holds only where no port between is in use.

Change: one function builds the configuration; the stand-in workers get their ports as a list.

--- a/tools/load/main.ts
+++ b/tools/load/main.ts
@@ -14,7 +14,7 @@
   .option('--seconds <n>', 'Duration of the load', { default: 20 })
   .option('--seed <n>', 'Seed of the jobs', { default: 1 })
   .option('--node-flags <flags>', 'Flags of Node.js for the daemon', {
-    default: '--max-old-space-size=160 --max-semi-space-size=2',
+    default: '--max-old-space-size=160 --max-semi-space-size=8',
   })
   .option('--no-profile', 'Measure without a CPU profile')
   .action(async (options: LoadOptions) => {
--- a/tools/load/runLoad.ts
+++ b/tools/load/runLoad.ts
@@ -7,6 +7,7 @@
 import { startProcess } from '../cluster/startProcess.js';
 import { stopProcess } from '../cluster/stopProcess.js';
 import { waitMs } from '../cluster/waitMs.js';
+import { buildOperatorConfig } from '../soak/buildOperatorConfig.js';
 import { formatSettings } from '../soak/formatSettings.js';
 import { publishRecord } from '../soak/publishRecord.js';
 import { sendClientRequest } from '../soak/sendClientRequest.js';
@@ -27,38 +28,28 @@
   functions: { name: string; self: number; total: number }[];
 }
 
+// Store, frontend, readiness and metrics.
+const daemonPorts = 4;
 const workersPerRack = 20;
 const capacity = { cpu: 64_000, mem_mb: 131_072, gpu: 8 };
 const startupMs = 4000;
 const exitTimeoutMs = 8000;
 const idDigits = 16;
 
-const config = {
-  version: 1,
-  routes: [
-    { name: 'urgent', path_prefix: '/u/', priority: 0, stretch: 1.5, target_latency_ms: 250 },
-    { name: 'batch', path_prefix: '/b/', priority: 1, stretch: 3, target_latency_ms: 1000 },
-  ].map((route) => ({ ...route, host: 'h', service: 'svc', max_attempts: 5, public: false })),
-  tenants: [{ name: 'ws', api_keys: ['key'], guaranteed: { gpu: 64 } }],
-};
+// Accelerators that the workspace can always reclaim.
+const guaranteedGpu = 64;
 
-const publishWorkers = async (storePort: number, firstPort: number, count: number) => {
-  await publishRecord(storePort, 'keyed.op', 'config', config);
-  for (let index = 0; index < count; index += 1) {
+const publishWorkers = async (storePort: number, workerPorts: readonly number[]) => {
+  await publishRecord(storePort, 'keyed.op', 'config', buildOperatorConfig(guaranteedGpu));
+  for (const [index, port] of workerPorts.entries()) {
     const labels = ['a', `r${Math.floor(index / workersPerRack)}`];
-    const address = `127.0.0.1:${firstPort + index}`;
+    const address = `127.0.0.1:${port}`;
     const entry = { service: 'svc', address, zone: 'zone-a', state: 'ready', capacity, labels };
     // eslint-disable-next-line no-await-in-loop -- one append at a time.
     await publishRecord(storePort, 'keyed.servers', `w${index}`, { ...entry, born: 1 });
   }
 };
 
-/** Finds a range of free ports, which the hosted workers need. */
-const findPortRange = async (count: number): Promise<number> => {
-  const [first = 0] = await findFreePorts(count);
-  return first;
-};
-
 const submitJobs = async (port: number, options: LoadOptions): Promise<Record<number, number>> => {
   const random = createRandom(options.seed);
   const statuses: Record<number, number> = {};
@@ -83,37 +74,32 @@
 const countLogCodes = ({ lines }: ManagedProcess): Record<string, number> => {
   const counts: Record<string, number> = {};
   lines.forEach((line) => {
-    const code = /"event":"([^"]+)"/.exec(line)?.[1] ?? /"code":"([^"]+)"/.exec(line)?.[1] ?? '?';
+    const code = /"code":"([^"]+)"/.exec(line)?.[1] ?? 'other';
     counts[code] = (counts[code] ?? 0) + 1;
   });
   return counts;
 };
 
-const shownFunctions = 400;
+const shownFunctions = 60;
 
 /** Runs one daemon under load on stand-ins and reports where its CPU time went. */
 export const runLoad = async (options: LoadOptions): Promise<LoadReport> => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'siskin-load-'));
-  const [storePort, frontPort, readinessPort, metricsPort] = (await findFreePorts(4)) as [
-    number,
-    number,
-    number,
-    number,
-  ];
-  const firstPort = await findPortRange(options.workers);
+  const [storePort, frontPort, readinessPort, metricsPort, ...workerPorts] = (await findFreePorts(
+    daemonPorts + options.workers,
+  )) as [number, number, number, number, ...number[]];
   const settingsFile = path.join(folder, 'vm-1.toml');
   fs.writeFileSync(
     settingsFile,
     formatSettings({ id: 'vm-1', frontPort, readinessPort, storePort }),
   );
-  const workerFlags = ['--first-port', firstPort, '--count', options.workers].map(String);
   const processes = [
     startProcess('store', 'dist/standins/store/main.js', ['--port', String(storePort)]),
-    startProcess('workers', 'dist/tools/load/workersMain.js', workerFlags),
+    startProcess('workers', 'dist/tools/load/workersMain.js', ['--ports', workerPorts.join(',')]),
   ];
   try {
     await waitMs(1000);
-    await publishWorkers(storePort, firstPort, options.workers);
+    await publishWorkers(storePort, workerPorts);
     const profileFlags = options.profile ? ['--cpu-prof', `--cpu-prof-dir=${folder}`] : [];
     const nodeFlags = [...options.nodeFlags.split(' ').filter(Boolean), ...profileFlags];
     const daemonArgs = ['target/siskin-node.cjs', '--metrics-port', String(metricsPort)];
--- a/tools/soak/startSoak.ts
+++ b/tools/soak/startSoak.ts
@@ -5,6 +5,7 @@
 import { findFreePorts } from '../cluster/findFreePorts.js';
 import { startProcess } from '../cluster/startProcess.js';
 import { waitMs } from '../cluster/waitMs.js';
+import { buildOperatorConfig } from './buildOperatorConfig.js';
 import { formatSettings } from './formatSettings.js';
 import { publishOddEntries } from './publishOddEntries.js';
 import { publishRecord } from './publishRecord.js';
@@ -28,14 +29,8 @@
 const portsPerWorker = 3;
 const storeStartMs = 500;
 
-const config = {
-  version: 1,
-  routes: [
-    { name: 'urgent', path_prefix: '/u/', priority: 0, stretch: 1.5, target_latency_ms: 250 },
-    { name: 'batch', path_prefix: '/b/', priority: 1, stretch: 3, target_latency_ms: 1000 },
-  ].map((route) => ({ ...route, host: 'h', service: 'svc', max_attempts: 5, public: false })),
-  tenants: [{ name: 'ws', api_keys: ['key'], guaranteed: { gpu: 12 } }],
-};
+// Accelerators that the workspace can always reclaim.
+const guaranteedGpu = 12;
 
 const startRelayProcess = (name: string, ports: number[], target: number): SoakRelay => {
   const [port, controlPort] = ports as [number, number];
@@ -97,7 +92,7 @@
     injectedFaults: [],
     pendingFaults: [],
   };
-  await publishRecord(storePort, 'keyed.op', 'config', config);
+  await publishRecord(storePort, 'keyed.op', 'config', buildOperatorConfig(guaranteedGpu));
   await Promise.all(soak.workers.map((worker) => publishWorkerEntry(soak, worker, 'ready')));
   await publishOddEntries(storePort);
   soak.nodes = Array.from({ length: nodes }, (_, index) =>
