Take a single port of the load tool's workers as text

Cause: the command line parser gives a single number as a number, which has no split. Change: it is converted first. Result: types and formatter clean.

--- a/tools/load/startWorkers.ts
+++ b/tools/load/startWorkers.ts
@@ -4,7 +4,8 @@
 /** Starts many stand-in workers in one process, one on each of the given ports. */
 export const startWorkers = (argv: string[]): void => {
   const { ports } = readFlags('workers', argv, { ports: '' });
-  ports
+  // A single port arrives as a number.
+  String(ports)
     .split(',')
     .forEach((port, index) =>
       startTaskWorker([
