Name the check for free capacity as the glossary does

Cause: room is the users' word; the code says capacity. Ruled out: nothing, names only. Result: types, linter, shape and the control tests pass.

--- a/src/control/placement/chooseGangWorkers.ts
+++ b/src/control/placement/chooseGangWorkers.ts
@@ -3,7 +3,7 @@
 import { chooseWorkers } from './chooseWorkers.js';
 import { getFreeResources } from './getFreeResources.js';
 import { groupByRack } from './groupByRack.js';
-import { hasRoom } from './hasRoom.js';
+import { hasCapacity } from './hasCapacity.js';
 import { isStarved } from './isStarved.js';
 import type { PlacementPass } from './PlacementPass.js';
 import type { PlacementUnit } from './PlacementUnit.js';
@@ -32,7 +32,7 @@
 ): Worker[] | null => {
   const count = unit.tasks.length;
   const { need } = unit.tasks[0]!;
-  const openWorkers = workers.filter((worker) => hasRoom(pass, worker, need));
+  const openWorkers = workers.filter((worker) => hasCapacity(pass, worker, need));
   if (openWorkers.length === 0) return null;
   const rackOptions = [...groupByRack(openWorkers).values()]
     .map((rack) => ({ chosen: chooseWorkers(pass, unit, rack, count), rack }))
--- a/src/control/placement/chooseWorkers.ts
+++ b/src/control/placement/chooseWorkers.ts
@@ -1,7 +1,7 @@
 import { addResources } from './addResources.js';
 import { countStepTasks } from './countStepTasks.js';
 import { getFreeResources } from './getFreeResources.js';
-import { hasRoom } from './hasRoom.js';
+import { hasCapacity } from './hasCapacity.js';
 import { isFitting } from './isFitting.js';
 import type { PlacementPass } from './PlacementPass.js';
 import type { PlacementUnit } from './PlacementUnit.js';
@@ -67,7 +67,7 @@
   const task = unit.tasks[0]!;
   const { maxPerWorker } = unit.step.definition;
   const candidates = workers
-    .filter((worker) => hasRoom(pass, worker, task.need))
+    .filter((worker) => hasCapacity(pass, worker, task.need))
     .map((worker) => buildCandidate(pass, unit, worker));
   candidates.sort(unit.plan.priority === 0 ? compareFastestFirst : compareFullestFirst(pass));
   const chosen: Worker[] = [];
--- a/src/control/placement/hasRoom.ts
+++ b/src/control/placement/hasCapacity.ts
@@ -6,7 +6,11 @@
  * Whether one task with this need fits on the worker. Asked for each waiting step and worker, so it
  * compares without building anything.
  */
-export const hasRoom = (pass: PlacementPass, { id, entry, allocated }: Worker, need: Resources) => {
+export const hasCapacity = (
+  pass: PlacementPass,
+  { id, entry, allocated }: Worker,
+  need: Resources,
+): boolean => {
   if (!entry) return false;
   const { capacity } = entry;
   const reserved = pass.reservedResources.get(id);
