--- a/test/platform/createHttpClient.test.ts
+++ b/test/platform/createHttpClient.test.ts
@@ -114,6 +114,10 @@
     paths.push(url ?? '');
     setTimeout(() => response.end(), 2 * timeoutMs);
   });
+  let connections = 0;
+  server?.on('connection', () => {
+    connections += 1;
+  });
   const client = createHttpClient(1, createLoopClock());
   const request = { method: 'GET', address } as const;
   const first = client.send({ ...request, path: '/first', timeoutMs: 10 * timeoutMs });
@@ -122,4 +126,6 @@
   await first;
   await client.send({ ...request, path: '/last', timeoutMs: 10 * timeoutMs });
   expect(paths).toEqual(['/first', '/last']);
+  // Calls that were given up must not cost the connection, or later calls never get their turn.
+  expect(connections).toBe(1);
 });
