--- /dev/null
+++ b/review/lib/proxy.mjs
@@ -0,0 +1,53 @@
+// A TCP proxy on loopback between a daemon and the store. It can make open connections go silent.
+import net from 'node:net';
+
+/** Starts the proxy. */
+const startProxy = async (targetPort) => {
+  const links = new Set();
+  const server = net.createServer((client) => {
+    const upstream = net.connect(targetPort, '127.0.0.1');
+    const link = { client, upstream, silent: false, lastRequest: '' };
+    links.add(link);
+    client.on('data', (chunk) => {
+      const [line] = chunk.toString('latin1').split('\r\n');
+      if (/^(GET|POST) /.test(line)) link.lastRequest = line;
+      if (!link.silent) upstream.write(chunk);
+    });
+    upstream.on('data', (chunk) => {
+      if (!link.silent) client.write(chunk);
+    });
+    const end = () => {
+      links.delete(link);
+      client.destroy();
+      upstream.destroy();
+    };
+    [client, upstream].forEach((socket) => {
+      socket.on('error', end);
+      socket.on('close', end);
+    });
+  });
+  await new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return {
+    port: server.address().port,
+    /**
+     * Makes the open connections go silent for good, without a reset, whose last request the condition names;
+     * returns these requests. New connections work.
+     */
+    silence: (isChosen) => {
+      const chosen = [...links].filter(({ lastRequest }) => isChosen(lastRequest));
+      chosen.forEach((link) => Object.assign(link, { silent: true }));
+      return chosen.map(({ lastRequest }) => lastRequest);
+    },
+    close: () => {
+      links.forEach(({ client, upstream }) => {
+        client.destroy();
+        upstream.destroy();
+      });
+      server.close();
+    },
+  };
+};
+
+export default startProxy;
