--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -6,14 +6,15 @@
   const links = new Set();
   const server = net.createServer((client) => {
     const upstream = net.connect(targetPort, '127.0.0.1');
-    const link = { client, upstream, silent: false, lastRequest: '' };
+    const link = { client, upstream, silent: false, waitsFor: '' };
     links.add(link);
     client.on('data', (chunk) => {
       const [line] = chunk.toString('latin1').split('\r\n');
-      if (/^(GET|POST) /.test(line)) link.lastRequest = line;
+      if (/^(GET|POST) /.test(line)) link.waitsFor = line;
       if (!link.silent) upstream.write(chunk);
     });
     upstream.on('data', (chunk) => {
+      link.waitsFor = '';
       if (!link.silent) client.write(chunk);
     });
     const end = () => {
@@ -32,13 +33,13 @@
   return {
     port: server.address().port,
     /**
-     * Makes the open connections go silent for good, without a reset, whose last request the condition names;
-     * returns these requests. New connections work.
+     * Makes the open connections go silent for good, without a reset, on which a request waits that the condition
+     * names; returns these requests. New connections work.
      */
     silence: (isChosen) => {
-      const chosen = [...links].filter(({ lastRequest }) => isChosen(lastRequest));
+      const chosen = [...links].filter(({ waitsFor }) => isChosen(waitsFor));
       chosen.forEach((link) => Object.assign(link, { silent: true }));
-      return chosen.map(({ lastRequest }) => lastRequest);
+      return chosen.map(({ waitsFor }) => waitsFor);
     },
     close: () => {
       links.forEach(({ client, upstream }) => {
