--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -4,6 +4,7 @@
 /** Starts the proxy. */
 const startProxy = async (targetPort) => {
   const links = new Set();
+  let isCut = false;
   const server = net.createServer((client) => {
     const upstream = net.connect(targetPort, '127.0.0.1');
     const link = { client, upstream, silent: false, waitsFor: '' };
@@ -11,11 +12,11 @@
     client.on('data', (chunk) => {
       const [line] = chunk.toString('latin1').split('\r\n');
       if (/^(GET|POST) /.test(line)) link.waitsFor = line;
-      if (!link.silent) upstream.write(chunk);
+      if (!link.silent && !isCut) upstream.write(chunk);
     });
     upstream.on('data', (chunk) => {
       link.waitsFor = '';
-      if (!link.silent) client.write(chunk);
+      if (!link.silent && !isCut) client.write(chunk);
     });
     const end = () => {
       links.delete(link);
@@ -41,6 +42,11 @@
       chosen.forEach((link) => Object.assign(link, { silent: true }));
       return chosen.map(({ waitsFor }) => waitsFor);
     },
+    /** Cuts all connections, new ones too: nothing passes. What was held up is lost. */
+    setCut: (value) => {
+      isCut = value;
+      if (value) links.forEach((link) => Object.assign(link, { silent: true }));
+    },
     close: () => {
       links.forEach(({ client, upstream }) => {
         client.destroy();
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -17,6 +17,7 @@
 const startWorker = async ({ id, store, entry, plan, record }) => {
   let life = null;
   let sequence = 0;
+  let cut = { isFromStore: false, isCallLost: () => false };
   const starts = [];
   const ends = [];
 
@@ -144,6 +145,7 @@
     if (request.headers['x-expect-instance'] !== id) return answer(response, 421, {});
     endDueRuns();
     const body = JSON.parse(text);
+    if (cut.isCallLost(body)) return undefined;
     if ((body.fencing_token ?? 0) < life.token) {
       return answer(response, 409, { clock_ms: readClock(), reason: 'fence' });
     }
@@ -165,7 +167,7 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const beat = () => {
-    if (!life) return;
+    if (!life || cut.isFromStore) return;
     sequence += 1;
     store.publish('keyed.servers', id, {
       ...life.entry,
@@ -184,6 +186,13 @@
     ends,
     countRunning: () => (life ? life.running.size : 0),
     sumRunning: (amount) => [...life.running.values()].reduce((sum, run) => sum + amount(run), 0),
+    /**
+     * Sets what a partition keeps from the worker: calls, which then are neither carried out nor answered, and its
+     * own heartbeats.
+     */
+    setCut: (value) => {
+      cut = value;
+    },
     /** Crashes: what runs is gone, and the connections are reset. */
     crash: () => {
       record(`${id}: crashes with ${life.running.size} runs`);
