--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -2,12 +2,12 @@
 // The zone of the leader is cut off from the store, the other zones and their machines.
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import buildConfig from '../lib/buildConfig.mjs';
-import runCase from '../lib/case.mjs';
-import findTwice from '../lib/findTwice.mjs';
-import startProxy from '../lib/proxy.mjs';
-import startStore from '../lib/store.mjs';
-import startWorkers from '../lib/startWorkers.mjs';
+import buildConfig from '../buildConfig.mjs';
+import runCase from '../case.mjs';
+import findTwice from '../findTwice.mjs';
+import startProxy from '../proxy.mjs';
+import startStore from '../store.mjs';
+import startWorkers from '../startWorkers.mjs';
 
 // Two cuts of 6.3 s, one after the other.
 const cutMs = 12_600;
--- a/review/2/play.mjs
+++ b/review/2/play.mjs
@@ -2,11 +2,11 @@
 // More than 500 ends of one worker wait for their acknowledgement while the store is down.
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import buildConfig from '../lib/buildConfig.mjs';
-import runCase from '../lib/case.mjs';
-import findTwice from '../lib/findTwice.mjs';
-import startStore from '../lib/store.mjs';
-import startWorkers from '../lib/startWorkers.mjs';
+import buildConfig from '../buildConfig.mjs';
+import runCase from '../case.mjs';
+import findTwice from '../findTwice.mjs';
+import startStore from '../store.mjs';
+import startWorkers from '../startWorkers.mjs';
 
 const taskCount = 600;
 const outageMs = 4500;
--- a/review/5/play.mjs
+++ b/review/5/play.mjs
@@ -2,11 +2,11 @@
 // One connection of the leader to the store goes silent while a configuration adds a queue.
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import buildConfig from '../lib/buildConfig.mjs';
-import runCase from '../lib/case.mjs';
-import startProxy from '../lib/proxy.mjs';
-import startStore from '../lib/store.mjs';
-import startWorkers from '../lib/startWorkers.mjs';
+import buildConfig from '../buildConfig.mjs';
+import runCase from '../case.mjs';
+import startProxy from '../proxy.mjs';
+import startStore from '../store.mjs';
+import startWorkers from '../startWorkers.mjs';
 
 const runMs = 1500;
 const taskId = '00000000000000d1.0.0.0';
--- a/review/lib/worker.mjs
+++ b/review/worker.mjs
@@ -15,26 +15,22 @@
  * worker reports of itself beside its address, state and start.
  */
 const startWorker = async ({ id, store, entry, plan, record }) => {
-  let life = null;
   let sequence = 0;
   let cut = { isFromStore: false, isCallLost: () => false };
   const starts = [];
   const ends = [];
 
-  const beginLife = (changes) => {
-    life = {
-      born: Date.now(),
-      bootAt: performance.now(),
-      entry: { ...entry, ...changes },
-      token: 0,
-      leaseUntil: 0,
-      running: new Map(),
-      ended: [],
-      lastEnd: 0,
-      acknowledged: 0,
-      endedRuns: new Map(),
-      holds: [],
-    };
+  const life = {
+    born: Date.now(),
+    bootAt: performance.now(),
+    token: 0,
+    leaseUntil: 0,
+    running: new Map(),
+    ended: [],
+    lastEnd: 0,
+    acknowledged: 0,
+    endedRuns: new Map(),
+    holds: [],
   };
   const readClock = () => Math.floor(performance.now() - life.bootAt);
   const endRun = (run, how, at) => {
@@ -85,7 +81,6 @@
     });
   };
   const tick = () => {
-    if (!life) return;
     endDueRuns();
     answerHolds();
   };
@@ -110,7 +105,7 @@
       const { durationMs, how } = plan(task, run);
       const begun = { task, run, startedAt, durationMs, dueAt: startedAt + durationMs, how };
       life.running.set(task, begun);
-      starts.push({ ...begun, worker: id, born: life.born, entry: life.entry });
+      starts.push({ ...begun, worker: id });
       record(`${id}: ${task} run ${run} started`);
     }
     return answer(response, 200, { clock_ms: readClock() });
@@ -156,21 +151,19 @@
     const chunks = [];
     request.on('data', (chunk) => chunks.push(chunk));
     request.on('end', () => {
-      // A worker that is down has no power; nothing is answered.
-      if (life) serve(request, response, Buffer.concat(chunks).toString());
+      serve(request, response, Buffer.concat(chunks).toString());
     });
     request.on('error', () => undefined);
     response.on('error', () => undefined);
   });
-  beginLife({});
   await new Promise((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
   const beat = () => {
-    if (!life || cut.isFromStore) return;
+    if (cut.isFromStore) return;
     sequence += 1;
     store.publish('keyed.servers', id, {
-      ...life.entry,
+      ...entry,
       address: `127.0.0.1:${server.address().port}`,
       state: 'ready',
       born: life.born,
@@ -181,11 +174,10 @@
   const timers = [setInterval(tick, tickMs), setInterval(beat, heartbeatMs)];
   return {
     id,
-    /** All starts and all ends of all lives, oldest first. */
+    /** All starts and all ends, oldest first. */
     starts,
     ends,
-    countRunning: () => (life ? life.running.size : 0),
-    sumRunning: (amount) => [...life.running.values()].reduce((sum, run) => sum + amount(run), 0),
+    countRunning: () => life.running.size,
     /**
      * Sets what a partition keeps from the worker: calls, which then are neither carried out nor answered, and its
      * own heartbeats.
@@ -193,18 +185,6 @@
     setCut: (value) => {
       cut = value;
     },
-    /** Crashes: what runs is gone, and the connections are reset. */
-    crash: () => {
-      record(`${id}: crashes with ${life.running.size} runs`);
-      life = null;
-      server.closeAllConnections();
-    },
-    /** Starts again under the same id and address, maybe as another kind. */
-    restart: (changes) => {
-      beginLife(changes);
-      record(`${id}: starts again as ${JSON.stringify(life.entry)}`);
-      beat();
-    },
     close: () => {
       timers.forEach(clearInterval);
       server.closeAllConnections();
