--- a/review/case.mjs
+++ b/review/case.mjs
@@ -254,6 +254,12 @@
     fs.writeFileSync(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
     process.exit(2);
   }, limitMs);
+  ['SIGINT', 'SIGTERM'].forEach((signal) => {
+    process.on(signal, () => {
+      children.forEach((child) => child.kill('SIGKILL'));
+      process.exit(2);
+    });
+  });
   try {
     const broken = await play(tools);
     broken.forEach((text) => record(`BROKEN ${text}`));
