A leader without the store's confirmation renews no leases

Callers saw work that must run once run twice (TWICE) while a zone was cut off with the leader in it. Cause: the leader renewed the leases of the workers beside it as long as it reached them; its successor allowed one second for that and started the tasks elsewhere.

Ruled out: starts of the former leader (they are written first and its appends were fenced), and a late fence at the workers (the successor reached none of them).

Change: an answered append confirms the lead as of its first attempt.

--- a/src/control/lead/Term.ts
+++ b/src/control/lead/Term.ts
@@ -19,6 +19,10 @@
   phaseStartedAt: number;
   /** Monotonic time at which the term began. */
   startedAt: number;
+  /** Monotonic time at which the former leader was known to be fenced out of both streams; infinite before. */
+  fencedAt: number;
+  /** Monotonic time at which the newest of the successful appends was first sent: no successor had fenced it out. */
+  confirmedAt: number;
   /** State read from earlier terms. */
   predecessor: PredecessorState;
   /** Plans by job ID. */
--- a/src/control/lead/advanceTerm.ts
+++ b/src/control/lead/advanceTerm.ts
@@ -75,7 +75,10 @@
 
 const finishFencing: PhaseHandler = (state, term, now) => {
   const { journal, runs } = term.writers;
-  if (!journal.pending && !runs.pending) return enterPhase(term, 'reading', now);
+  if (!journal.pending && !runs.pending) {
+    term.fencedAt = now.at;
+    return enterPhase(term, 'reading', now);
+  }
   return [...retryAppend(state, term, 'journal', now), ...retryAppend(state, term, 'runs', now)];
 };
 
--- a/src/control/lead/beginTerm.ts
+++ b/src/control/lead/beginTerm.ts
@@ -25,6 +25,8 @@
     phase: 'fencing',
     phaseStartedAt: now.at,
     startedAt: now.at,
+    fencedAt: Number.POSITIVE_INFINITY,
+    confirmedAt: now.at,
     predecessor: { progress: new Map(), speeds: [], usageOffsets: new Map() },
     plans: new Map(),
     workers: new Map(),
--- a/src/control/progress/finishAppend.ts
+++ b/src/control/progress/finishAppend.ts
@@ -1,4 +1,5 @@
 import type { Effect } from '../Effect.js';
+import { isLeadConfirmed } from '../lead/isLeadConfirmed.js';
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
 import { dropEndedPlans } from '../plans/dropEndedPlans.js';
@@ -14,14 +15,22 @@
 const computePauseMs = (append: PendingAppend, now: Now): number =>
   now.at - append.firstAttemptAt - (now.responsiveAt - append.firstAttemptResponsiveAt);
 
-/**
- * Completes a successful append: sends its starts and allows its ends to be acknowledged.
- * After a pause, another VM may lead and have given the starts up, so they are withdrawn.
- */
+/** Why the starts of an append must not be sent: another VM may lead by now and have given them up. */
+const findWithdrawalCause = (
+  term: Term,
+  append: PendingAppend,
+  now: Now,
+): 'leader-paused' | 'lead-unconfirmed' | null => {
+  if (computePauseMs(append, now) > maxPauseMs) return 'leader-paused';
+  return isLeadConfirmed(term, now) ? null : 'lead-unconfirmed';
+};
+
+/** Completes a successful append: sends or withdraws its starts and allows its ends to be acknowledged. */
 export const finishAppend = (term: Term, writer: StreamWriter, now: Now): Effect[] => {
   const { pending: append } = writer;
   if (!append) return [];
   writer.pending = null;
+  term.confirmedAt = Math.max(term.confirmedAt, append.firstAttemptAt);
   append.endsToAcknowledge.forEach(({ workerId, incarnation, endNumber }) => {
     const worker = term.workers.get(workerId);
     if (!worker || worker.incarnation !== incarnation) return;
@@ -32,9 +41,9 @@
   const starts = append.startsToSend.filter(
     ({ task, run }) => task.state === 'recording' && task.run === run,
   );
-  const hasPaused = computePauseMs(append, now) > maxPauseMs;
+  const withdrawalCause = findWithdrawalCause(term, append, now);
   const effects = starts.flatMap(({ task }) =>
-    hasPaused ? requeueTask(term, task, 'leader-paused', now) : sendStart(term, task, now),
+    withdrawalCause ? requeueTask(term, task, withdrawalCause, now) : sendStart(term, task, now),
   );
   dropEndedPlans(term, append.records);
   const ms = now.at - append.firstAttemptAt;
--- a/src/control/runs/RequeueCause.ts
+++ b/src/control/runs/RequeueCause.ts
@@ -12,4 +12,5 @@
   | 'lease-over'
   | 'not-listed'
   | 'worker-unusable'
-  | 'leader-paused';
+  | 'leader-paused'
+  | 'lead-unconfirmed';
--- a/src/control/workers/handlePollAnswer.ts
+++ b/src/control/workers/handlePollAnswer.ts
@@ -1,4 +1,7 @@
 import type { Effect } from '../Effect.js';
+import { isLeadConfirmed } from '../lead/isLeadConfirmed.js';
+import type { Term } from '../lead/Term.js';
+import type { Now } from '../Now.js';
 import { applyListing } from './applyListing.js';
 import type { AnswerHandler } from './AnswerHandler.js';
 import { idlePollIntervalMs } from './idlePollIntervalMs.js';
@@ -12,8 +15,12 @@
 // once they are persisted, it is sent at once.
 const maxPersistDelayMs = 400;
 
-const chooseDelayMs = (worker: Worker): number => {
+// Polls that renew no lease don't wait for an end; the first one after the confirmation renews it again.
+const unconfirmedDelayMs = 400;
+
+const chooseDelayMs = (term: Term, worker: Worker, now: Now): number => {
   if (isIdle(worker)) return idlePollIntervalMs;
+  if (!isLeadConfirmed(term, now)) return unconfirmedDelayMs;
   return worker.lastAppliedEnd > worker.lastPersistedEnd ? maxPersistDelayMs : 0;
 };
 
@@ -44,7 +51,7 @@
   const acknowledgedEnd = event.call.type === 'poll' ? event.call.acknowledgedEnd : 0;
   const poll = { sentAt, acknowledgedEnd };
   const effects = applyListing(term, worker, answer, poll, state.bounds.maxLeaseMs, event);
-  worker.nextPollAt = event.at + chooseDelayMs(worker);
+  worker.nextPollAt = event.at + chooseDelayMs(term, worker, event);
   if (!wasSilent) return effects;
   const fields = { worker: worker.id, tasks: worker.tasks.size };
   return [{ type: 'log', level: 'info', code: 'worker_regained', fields }, ...effects];
--- a/src/control/workers/sendPoll.ts
+++ b/src/control/workers/sendPoll.ts
@@ -1,6 +1,7 @@
 import type { Effect } from '../Effect.js';
 import type { Now } from '../Now.js';
 import type { State } from '../State.js';
+import { isLeadConfirmed } from '../lead/isLeadConfirmed.js';
 import type { Term } from '../lead/Term.js';
 import { estimateClock } from './estimateClock.js';
 import { isIdle } from './isIdle.js';
@@ -24,8 +25,9 @@
 export const sendPoll = (state: State, term: Term, worker: Worker, now: Now): Effect[] => {
   const clock = estimateClock(worker, now);
   // The lease of a silent worker is not renewed, so that it expires at a known time. An idle worker needs
-  // none: the start of a run brings its own.
-  const renewsLease = clock !== null && worker.failedPolls === 0 && !isIdle(worker);
+  // none: the start of a run brings its own. A leader that may have a successor grants none.
+  const renewsLease =
+    clock !== null && worker.failedPolls === 0 && !isIdle(worker) && isLeadConfirmed(term, now);
   const leaseMs = Math.min(targetLeaseMs, state.bounds.maxLeaseMs);
   const expiresAt = renewsLease ? clock + leaseMs : null;
   if (expiresAt !== null) worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, expiresAt);
--- a/test/control/fuzz/ScenarioAction.ts
+++ b/test/control/fuzz/ScenarioAction.ts
@@ -22,6 +22,7 @@
     | 'crashWorker'
     | 'restartWorker'
     | 'partitionWorker'
+    | 'cutZone'
     | 'drainWorker'
     | 'failWorker';
   /** Time since the previous step. */
--- a/test/control/fuzz/applyAction.ts
+++ b/test/control/fuzz/applyAction.ts
@@ -1,3 +1,4 @@
+import { cutZone } from '../simulation/cutZone.js';
 import { scheduleAfter } from '../simulation/scheduleAfter.js';
 import {
   killVm,
@@ -193,6 +194,15 @@
         publishWorkerEntry(platform, worker.id, worker.draining ? 'draining' : 'ready');
     });
   },
+  // One VM and a third of the workers; long enough for a new leader to wait out the leases behind the cut.
+  cutZone: ({ platform }, { target, durationMs }) => {
+    if (platform.cutIds.size > 0) return;
+    const ids = [...platform.vms.map(({ id }) => id), ...platform.workers.keys()];
+    const zoneIds = ids.filter(
+      (_, index) => index % platform.vms.length === target % platform.vms.length,
+    );
+    cutZone(platform, zoneIds, 4000 + 2 * durationMs);
+  },
   drainWorker: (scenario, action) => {
     const worker = getWorker(scenario, action);
     if (!worker.up) return;
--- a/test/control/fuzz/scenarioArbitrary.ts
+++ b/test/control/fuzz/scenarioArbitrary.ts
@@ -16,6 +16,7 @@
   'crashWorker',
   'restartWorker',
   'partitionWorker',
+  'cutZone',
   'drainWorker',
   'failWorker',
 ];
--- a/test/control/simulation/FakePlatform.ts
+++ b/test/control/simulation/FakePlatform.ts
@@ -29,6 +29,8 @@
   violations: string[];
   /** Maximum lease that workers grant. */
   maxLeaseMs: number;
+  /** IDs of the VMs and workers in a zone that is cut off: they reach each other only, and not the store. */
+  cutIds: Set<string>;
   /** Share of starts and stops that are unanswered and applied only after their timeout. */
   lateCallShare: number;
   /** Seeded generator of uniform numbers in [0, 1). */
--- a/test/control/simulation/createFakePlatform.ts
+++ b/test/control/simulation/createFakePlatform.ts
@@ -181,6 +181,7 @@
     sequence: 0,
     violations: [],
     maxLeaseMs,
+    cutIds: new Set(),
     lateCallShare: 0,
     random: createRandom(options.seed ?? 1),
     runEffect: (vm, effect) => runEffect(platform, vm, effect),
--- a/test/control/simulation/serveStore.ts
+++ b/test/control/simulation/serveStore.ts
@@ -110,7 +110,7 @@
       if (vm.incarnation === incarnation) platform.push(vm, event);
     });
   scheduleAfter(platform, roundTripMs / 2, () => {
-    if (platform.store.unresponsive) {
+    if (platform.store.unresponsive || platform.cutIds.has(vm.id)) {
       scheduleAfter(platform, effect.timeoutMs, () => reply(buildTimeout(effect)));
       return;
     }
--- a/test/control/simulation/serveWorker.ts
+++ b/test/control/simulation/serveWorker.ts
@@ -176,7 +176,11 @@
   scheduleAfter(platform, hasNewEnd ? 0 : call.waitMs, answerOnce);
 };
 
-const isReachable = ({ up, partitioned }: FakeWorker): boolean => up && !partitioned;
+const isReachable = (platform: FakePlatform, vm: FakeVm, worker: FakeWorker): boolean =>
+  worker.up &&
+  !worker.partitioned &&
+  !vm.partitionedFromWorkers &&
+  platform.cutIds.has(vm.id) === platform.cutIds.has(worker.id);
 
 /** Serves a worker call of a VM. */
 export const serveWorker = (
@@ -195,7 +199,7 @@
       }
     });
   const isLate = call.type !== 'poll' && platform.random() < platform.lateCallShare;
-  if (!worker || vm.partitionedFromWorkers || !isReachable(worker) || isLate) {
+  if (!worker || !isReachable(platform, vm, worker) || isLate) {
     reply({ type: 'unanswered' }, timeoutMs);
     if (isLate && worker) {
       scheduleAfter(platform, timeoutMs + platform.random() * maxLateMs, () => {
@@ -205,7 +209,7 @@
     return;
   }
   scheduleAfter(platform, oneWayMs, () => {
-    if (!isReachable(worker)) {
+    if (!isReachable(platform, vm, worker)) {
       reply({ type: 'unanswered' }, timeoutMs);
       return;
     }
@@ -217,8 +221,7 @@
       return;
     }
     waitForEnd(platform, worker, call, () => {
-      if (!isReachable(worker) || vm.partitionedFromWorkers)
-        reply({ type: 'unanswered' }, timeoutMs);
+      if (!isReachable(platform, vm, worker)) reply({ type: 'unanswered' }, timeoutMs);
       else reply(applyCall(platform, worker, token, { ...call, expiresAt: null }), oneWayMs);
     });
   });
