Take no run as lost while a listing leaves ends out

Callers saw small tasks run twice (TWICE) after the store had been away: a worker lists 500 ends at most, and runs that ended beyond these were in neither list of its answer, which the leader took as lost.

Ruled out: a lease that expired (the case renews it throughout) and a lost acknowledgement.

Change: a listing says whether it holds all ends. Only then a run in neither list is requeued, at a restart of the worker too, and only then runs without progress are stopped. Others are decided by the listing that follows the acknowledgement.

--- a/src/control/workers/WorkerAnswer.ts
+++ b/src/control/workers/WorkerAnswer.ts
@@ -11,6 +11,8 @@
       incarnation: number;
       running: ListedRun[];
       ended: EndedRun[];
+      /** Whether `ended` holds all unacknowledged ends; if not, an ended run may be in neither list. */
+      hasAllEnds: boolean;
     }
   | { type: 'refused'; reason: WorkerRefusal; clockMs: number | null }
   /** The outcome is unknown: the call may have taken effect or still do so. */
--- a/src/control/workers/applyListing.ts
+++ b/src/control/workers/applyListing.ts
@@ -96,8 +96,7 @@
   const { sentAt, acknowledgedEnd } = poll;
   const effects: Effect[] = [];
   if (worker.incarnation !== 0 && listing.incarnation > worker.incarnation) {
-    const { incarnation, running } = listing;
-    effects.push(...handleWorkerRestart(term, worker, { incarnation, running, sentAt }, now));
+    effects.push(...handleWorkerRestart(term, worker, { ...listing, sentAt }, now));
   }
   // An answer of a former incarnation says nothing about the current one.
   if (listing.incarnation < worker.incarnation) return effects;
@@ -123,8 +122,11 @@
       effects.push(...applyRunEnd(term, worker, end, observation, now));
     });
   effects.push(...applyListedRuns(term, worker, listing, now));
-  effects.push(...requeueUnlisted(term, worker, listing, sentAt, now));
-  effects.push(...stopStalledRuns(term, worker, now));
+  // A run in neither list may be among the ends that were left out; the next listing shows it.
+  if (listing.hasAllEnds) {
+    effects.push(...requeueUnlisted(term, worker, listing, sentAt, now));
+    effects.push(...stopStalledRuns(term, worker, now));
+  }
   updateLogSlowdown(worker, collectPaceSamples(term, worker, now), term.logOverrunByQueue);
   return effects;
 };
--- a/src/control/workers/handleWorkerRestart.ts
+++ b/src/control/workers/handleWorkerRestart.ts
@@ -13,6 +13,7 @@
 interface RestartListing {
   incarnation: number;
   running: readonly ListedRun[];
+  hasAllEnds: boolean;
   /** Monotonic time at which the poll was sent. */
   sentAt: number;
 }
@@ -39,7 +40,7 @@
   listing: RestartListing,
   now: Now,
 ): Effect[] => {
-  const { running, sentAt } = listing;
+  const { running, hasAllEnds, sentAt } = listing;
   if (running.some((run) => run.task === task.name && run.run === task.run)) return [];
   recordLostUsage(term, worker, task, now);
   if (task.state === 'recording') return [];
@@ -48,8 +49,9 @@
   if (task.state === 'stopping' && task.stopReason === 'start-unanswered') {
     return sendStop(term, worker, task, now);
   }
-  // The new incarnation confirmed it after the poll was sent, so the next listing decides.
-  if (task.confirmedAt >= sentAt) return [];
+  // The new incarnation confirmed it after the poll was sent, or may have ended it, so the next listing
+  // decides.
+  if (task.confirmedAt >= sentAt || !hasAllEnds) return [];
   return requeueTask(term, task, 'worker-restarted', now);
 };
 
--- a/test/control/simulation/serveWorker.ts
+++ b/test/control/simulation/serveWorker.ts
@@ -14,6 +14,8 @@
 const oneWayMs = 1;
 // An unanswered call is applied at most this long after its timeout.
 const maxLateMs = 4000;
+// Ends in one listing; the others follow once these are acknowledged.
+const maxListedEnds = 500;
 // A run ends at most this long after its stop was requested.
 const maxStopMs = 200;
 
@@ -112,7 +114,8 @@
     checkpoint: computeCheckpoint(platform, run),
     percent: computePercent(platform, worker, run),
   })),
-  ended: worker.unacknowledgedEnds.map(({ sequenceNumber, run }) => ({
+  hasAllEnds: worker.unacknowledgedEnds.length <= maxListedEnds,
+  ended: worker.unacknowledgedEnds.slice(0, maxListedEnds).map(({ sequenceNumber, run }) => ({
     sequenceNumber,
     task: run.task,
     run: run.run,
