Create due occurrences as capacity allows

Callers had a small job accepted that never started (LOST) once another workspace had handed in a repeated job with 10,000 due occurrences; the processes of all VMs ended by turns.

Cause: every leader created all due occurrences in one turn of its loop (119,872 waiting tasks on the fake platform) and exceeded its heap. A successor rebuilt the finished ones as well, and the stored progress had a row for each of their tasks. Ruled out: the front (the job is small on the wire) and the store (its appends went through until the process ended).

Change: occurrences are created while fewer than 512 tasks of earlier ones wait; their due time is computed before their tasks are built. Stored progress names the next and the unfinished occurrences and holds the tasks of these only. Progress of the former form is still read, and is still written until the first occurrence of a job has finished.

Open: progress of one occurrence with thousands of tasks can still outgrow a record.

--- a/src/adapters/journal/decodeRecord.ts
+++ b/src/adapters/journal/decodeRecord.ts
@@ -11,7 +11,7 @@
 type Decoder = (value: unknown, id: string) => DecodedRecord;
 
 const decodeProgress: Decoder = (value, id) => {
-  const [state, endedAt, rows] = recordSchemas.progress.parse(value);
+  const [state, endedAt, rows, ...occurrences] = recordSchemas.progress.parse(value);
   const tasks = rows.map(
     ([occurrence, step, index, taskState, run, failures, workerId, checkpoint, startedAt]) => ({
       occurrence,
@@ -25,7 +25,16 @@
       startedAt,
     }),
   );
-  return { type: 'progress', id, progress: { state, endedAt, tasks } };
+  const startedOccurrences = Math.max(0, ...rows.map(([occurrence]) => occurrence + 1));
+  const [
+    nextOccurrence = startedOccurrences,
+    openOccurrences = Array.from({ length: nextOccurrence }, (_, number) => number),
+  ] = occurrences;
+  return {
+    type: 'progress',
+    id,
+    progress: { state, endedAt, nextOccurrence, openOccurrences, tasks },
+  };
 };
 
 const decoders = new Map<string, Decoder>([
--- a/src/adapters/journal/encodeRecord.ts
+++ b/src/adapters/journal/encodeRecord.ts
@@ -13,23 +13,29 @@
   [T in AnyRecord['type']]: (record: Extract<AnyRecord, { type: T }>) => EncodedRecord;
 };
 
-/** Tasks make up most of the stored data, so they are encoded as tuples without field names. */
-const encodeProgress = ({ state, endedAt, tasks }: JobProgress): Buffer =>
-  pack([
-    state,
-    endedAt,
-    tasks.map((task) => [
-      task.occurrence,
-      task.step,
-      task.index,
-      task.state,
-      task.run,
-      task.failures,
-      task.workerId,
-      task.checkpoint,
-      task.startedAt,
-    ]),
+/**
+ * Encodes progress. Tasks make up most of the stored data, so they are tuples without field names. The
+ * occurrences are left out while none is finished: they follow from the tasks then.
+ */
+const encodeProgress = (progress: JobProgress): Buffer => {
+  const { state, endedAt, nextOccurrence, openOccurrences } = progress;
+  const tasks = progress.tasks.map((task) => [
+    task.occurrence,
+    task.step,
+    task.index,
+    task.state,
+    task.run,
+    task.failures,
+    task.workerId,
+    task.checkpoint,
+    task.startedAt,
   ]);
+  return pack(
+    openOccurrences.length === nextOccurrence
+      ? [state, endedAt, tasks]
+      : [state, endedAt, tasks, nextOccurrence, openOccurrences],
+  );
+};
 
 const encoders: Encoders = {
   submission: ({ submission }) => ({
--- a/src/adapters/journal/recordSchemas.ts
+++ b/src/adapters/journal/recordSchemas.ts
@@ -51,7 +51,14 @@
   }),
   cancellation: z.object({ at: z.number() }),
   status: z.tuple([jobStateSchema, z.number()]),
-  progress: z.tuple([jobStateSchema, z.number(), z.array(taskRowSchema)]),
+  // State, end, tasks; once an occurrence is finished, the number of the next one and the unfinished ones.
+  progress: z.tuple([
+    jobStateSchema,
+    z.number(),
+    z.array(taskRowSchema),
+    nonNegativeInt.optional(),
+    z.array(nonNegativeInt).optional(),
+  ]),
   lead: z.object({ token: z.number(), vmId: z.string(), resigned: z.boolean() }),
   usage: z.object({
     workspace: z.string(),
--- a/src/control/jobs/JobProgress.ts
+++ b/src/control/jobs/JobProgress.ts
@@ -6,5 +6,10 @@
   state: JobState;
   /** Epoch milliseconds on the leader at which the job ended, or 0. */
   endedAt: number;
+  /** Number of the next occurrence to create. */
+  nextOccurrence: number;
+  /** Numbers of the unfinished occurrences below `nextOccurrence`; the others are done. */
+  openOccurrences: number[];
+  /** Tasks of unfinished occurrences that were started at least once. */
   tasks: TaskProgress[];
 }
--- a/src/control/plans/addDueOccurrences.ts
+++ b/src/control/plans/addDueOccurrences.ts
@@ -1,15 +1,38 @@
 import type { Now } from '../Now.js';
+import { computeDueAt } from './computeDueAt.js';
 import { createOccurrence } from './createOccurrence.js';
 import type { JobPlan } from './JobPlan.js';
 
-/** Creates the occurrences of a job that are due; a job without a schedule has exactly one. */
+// More than one placement pass starts. Later occurrences need what the waiting ones do, so that they lose
+// nothing by being created once these have started.
+const maxWaitingTasks = 512;
+
+const countWaitingTasks = ({ occurrences }: JobPlan): number => {
+  let count = 0;
+  occurrences.forEach(({ steps }) =>
+    steps.forEach(({ tasks }) => {
+      count += tasks.filter(({ state }) => state === 'waiting').length;
+    }),
+  );
+  return count;
+};
+
+/**
+ * Creates the occurrences of a job that are due, as long as few tasks of earlier ones wait; a job without
+ * a schedule has exactly one.
+ */
 export const addDueOccurrences = (plan: JobPlan, now: Now): void => {
-  const { schedule } = plan.submission.definition;
+  const { steps, schedule } = plan.submission.definition;
   const total = schedule ? schedule.count : 1;
-  while (plan.nextOccurrence < total) {
+  const isDue = (): boolean =>
+    plan.nextOccurrence < total && computeDueAt(plan.submission, plan.nextOccurrence) <= now.wall;
+  if (!isDue()) return;
+  const tasksPerOccurrence = steps.reduce((sum, { count }) => sum + count, 0);
+  let waitingCount = countWaitingTasks(plan);
+  while (isDue() && waitingCount < maxWaitingTasks) {
     const next = createOccurrence(plan.submission, plan.nextOccurrence, now.at);
-    if (next.dueAt > now.wall) return;
     plan.occurrences.set(next.number, next);
     plan.nextOccurrence += 1;
+    waitingCount += tasksPerOccurrence;
   }
 };
--- a/src/control/plans/buildPlans.ts
+++ b/src/control/plans/buildPlans.ts
@@ -22,7 +22,7 @@
     const plan = addPlan(state, job);
     if (!plan) return;
     const progress = term.predecessor.progress.get(job.id);
-    restorePlan(term, plan, progress?.tasks ?? [], now);
+    if (progress) restorePlan(term, plan, progress, now);
     if (progress && progress.state !== plan.state) restoreUnpublishedState(term, plan, progress);
     if (job.cancelled) effects.push(...finishPlan(term, plan, 'cancelled', now));
   });
--- a/src/control/plans/buildProgress.ts
+++ b/src/control/plans/buildProgress.ts
@@ -34,38 +34,15 @@
   );
 
 /**
- * Rebuilds the progress of finished occurrences, whose plans have been deleted. A gang needs one entry,
- * because it is done as soon as one member is.
+ * Builds the stored progress of a job. Finished occurrences are left out, so that the record of a repeated job
+ * stays small; so are the tasks of an ended job.
  */
-const listCompletedTasks = (plan: JobPlan): TaskProgress[] =>
-  Array.from({ length: plan.nextOccurrence }, (_, number) => number)
-    .filter((number) => !plan.occurrences.has(number))
-    .flatMap((occurrence) =>
-      plan.submission.definition.steps.flatMap((step, index) =>
-        Array.from({ length: step.gang ? 1 : step.count }, (_, taskIndex): TaskProgress => ({
-          occurrence,
-          step: index,
-          index: taskIndex,
-          state: 'done',
-          run: 1,
-          failures: 0,
-          workerId: '',
-          checkpoint: '',
-          startedAt: 0,
-        })),
-      ),
-    );
-
-/** Builds the stored progress of a job; the tasks of an ended job are left out. */
 export const buildProgress = (plan: JobPlan, now: Now): JobProgress => ({
   state: plan.state,
   endedAt: plan.endedAt,
+  nextOccurrence: plan.nextOccurrence,
+  openOccurrences: [...plan.occurrences.keys()],
   tasks: isJobEnded(plan.state)
     ? []
-    : [
-        ...listCompletedTasks(plan),
-        ...[...plan.occurrences.values()].flatMap((occurrence) =>
-          listStartedTasks(occurrence, now),
-        ),
-      ],
+    : [...plan.occurrences.values()].flatMap((occurrence) => listStartedTasks(occurrence, now)),
 });
--- a/src/control/plans/createOccurrence.ts
+++ b/src/control/plans/createOccurrence.ts
@@ -1,4 +1,5 @@
 import type { Submission } from '../jobs/Submission.js';
+import { computeDueAt } from './computeDueAt.js';
 import { createTask } from './createTask.js';
 import type { OccurrencePlan } from './OccurrencePlan.js';
 import type { StepPlan } from './StepPlan.js';
@@ -12,8 +13,7 @@
   number: number,
   at: number,
 ): OccurrencePlan => {
-  const { schedule, steps } = submission.definition;
-  const plans = steps.map((definition, index): StepPlan => ({
+  const plans = submission.definition.steps.map((definition, index): StepPlan => ({
     index,
     definition,
     tasks: Array.from({ length: definition.count }, (_, taskIndex) =>
@@ -29,7 +29,7 @@
   }));
   return {
     number,
-    dueAt: schedule ? schedule.startAt + number * schedule.intervalMs : 0,
+    dueAt: computeDueAt(submission, number),
     steps: plans,
     remaining: plans.length,
   };
--- a/src/control/plans/restorePlan.ts
+++ b/src/control/plans/restorePlan.ts
@@ -1,3 +1,4 @@
+import type { JobProgress } from '../jobs/JobProgress.js';
 import type { TaskProgress } from '../jobs/TaskProgress.js';
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
@@ -31,12 +32,11 @@
   }
 };
 
-/** Applies stored task progress to a new plan. */
-export const restorePlan = (term: Term, plan: JobPlan, tasks: TaskProgress[], now: Now): void => {
-  const lastOccurrence = Math.max(-1, ...tasks.map(({ occurrence }) => occurrence));
-  for (; plan.nextOccurrence <= lastOccurrence; plan.nextOccurrence += 1) {
-    const occurrence = createOccurrence(plan.submission, plan.nextOccurrence, now.at);
-    plan.occurrences.set(occurrence.number, occurrence);
-  }
-  tasks.forEach((stored) => restoreTask(term, plan, stored, now));
+/** Applies the stored progress of a job to its new plan. */
+export const restorePlan = (term: Term, plan: JobPlan, progress: JobProgress, now: Now): void => {
+  plan.nextOccurrence = progress.nextOccurrence;
+  progress.openOccurrences.forEach((number) => {
+    plan.occurrences.set(number, createOccurrence(plan.submission, number, now.at));
+  });
+  progress.tasks.forEach((stored) => restoreTask(term, plan, stored, now));
 };
--- a/src/control/report/describeJob.ts
+++ b/src/control/report/describeJob.ts
@@ -18,6 +18,8 @@
   failures: number;
 }
 
+const noProgress = { tasks: [], nextOccurrence: 0, openOccurrences: [] };
+
 const countStep = (tasks: readonly TaskProgress[], step: number, state: TaskProgress['state']) =>
   tasks.filter((task) => task.step === step && task.state === state).length;
 
@@ -29,7 +31,8 @@
   if (!job) return null;
   const status = listRecords(content.journal, 'status').find((record) => record.id === id);
   const progress = listRecords(content.runs, 'progress').find((record) => record.id === id);
-  const tasks = progress?.progress.tasks ?? [];
+  const { tasks, nextOccurrence, openOccurrences } = progress?.progress ?? noProgress;
+  const doneOccurrences = nextOccurrence - openOccurrences.length;
   return {
     id,
     state: status?.state ?? 'queued',
@@ -42,7 +45,7 @@
       gpu: need.gpu,
       gang,
       started: countStep(tasks, step, 'started'),
-      done: countStep(tasks, step, 'done'),
+      done: countStep(tasks, step, 'done') + doneOccurrences * count,
     })),
     running: tasks
       .filter(({ state }) => state === 'started')
--- a/test/control/report.test.ts
+++ b/test/control/report.test.ts
@@ -6,6 +6,7 @@
 import { findLeader } from './simulation/findLeader.js';
 import { readStoreContent } from './simulation/readStoreContent.js';
 import { advanceTime } from './simulation/advanceTime.js';
+import { simulationStartMs } from './simulation/simulationStartMs.js';
 import { submitJob } from './simulation/submitJob.js';
 
 const id = 'a'.padStart(16, '0');
@@ -41,6 +42,17 @@
   expect(describeJob(readStoreContent(platform), 'none')).toBeNull();
 });
 
+// Guards against finished occurrences, whose tasks are not stored, that a report leaves out.
+test('a job report counts the tasks of finished occurrences', () => {
+  const platform = createFakePlatform({ vms: 1, workers: 2 });
+  advanceTime(platform, 3000);
+  const schedule = { count: 3, startAt: simulationStartMs, intervalMs: 1500 };
+  submitJob(platform, 'a', { runMs: 200, steps: [{ count: 2 }], schedule });
+  advanceTime(platform, 1000);
+  const report = describeJob(readStoreContent(platform), id);
+  expect(report!.steps.map(({ done }) => done)).toEqual([6]);
+});
+
 // Guards against an invoice for the wrong period, or one that differs from the actual runs.
 test('an invoice sums the days of its period', () => {
   const platform = createFakePlatform({ vms: 1, workers: 2 });
--- a/test/platform/decodeStreamRecord.test.ts
+++ b/test/platform/decodeStreamRecord.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from '@jest/globals';
+import { pack } from 'msgpackr';
 import { encodeRecord } from '../../src/adapters/journal/encodeRecord.js';
 import { decodeStreamRecord } from '../../platform/decodeStreamRecord.js';
 
@@ -58,25 +59,41 @@
   expect(decodeStreamRecord('journal', { key: 'p/1', value }, 0).type).toBe('unreadable');
 });
 
-// Guards against task rows whose order differs between the encoder and the decoder.
-test('encoded progress is decoded', () => {
+const task = {
+  occurrence: 0,
+  step: 1,
+  index: 2,
+  state: 'started' as const,
+  run: 3,
+  failures: 1,
+  workerId: 'w',
+  checkpoint: 'c',
+  startedAt: 5,
+};
+
+// Guards against task rows whose order differs between the encoder and the decoder, and against finished
+// occurrences that a new leader takes for unfinished ones.
+test.each([
+  ['no occurrence finished', 1, [0], [task]],
+  ['two occurrences finished', 4, [0, 3], [task, { ...task, occurrence: 3 }]],
+  ['all occurrences finished', 4, [], []],
+])('encoded progress is decoded: %s', (_name, nextOccurrence, openOccurrences, tasks) => {
   const progress = {
     state: 'running' as const,
     endedAt: 0,
-    tasks: [
-      {
-        occurrence: 0,
-        step: 1,
-        index: 2,
-        state: 'started' as const,
-        run: 3,
-        failures: 1,
-        workerId: 'w',
-        checkpoint: 'c',
-        startedAt: 5,
-      },
-    ],
+    nextOccurrence,
+    openOccurrences,
+    tasks,
   };
   const record = { type: 'progress' as const, id: '1', progress };
   expect(decodeStreamRecord('journal', encodeRecord(record), 9)).toEqual({ ...record, offset: 9 });
 });
+
+// Guards against progress of a former version, without occurrences, that a new leader can't read.
+test('progress without occurrences is decoded', () => {
+  const row = [2, 0, 0, 'done', 1, 0, 'w', '', 0];
+  const record = { key: 'p/1', value: pack(['running', 0, [row]]) };
+  expect(decodeStreamRecord('runs', record, 9)).toMatchObject({
+    progress: { nextOccurrence: 3, openOccurrences: [0, 1, 2] },
+  });
+});
