Store the queue's settings with a submission

Callers saw a job failed after one of three attempts (LOST) when its queue had just been added.

Cause: the submission named its queue only. A leader that hadn't read the version with the queue, here since one connection to the store had gone silent, planned the job with stand-in settings (one attempt, lowest priority) for good. Ruled out: a wrong count of failures (one end failed was listed) and an older version at the VM that accepted the job.

Change: the VM that accepts a job stores the queue's priority, attempts, stretch and latency with it, and each leader plans with these. So a queue that is removed while its jobs run changes nothing for them under the next leader either. Submissions of a former version are still read and looked up by name.

--- a/src/adapters/journal/recordSchemas.ts
+++ b/src/adapters/journal/recordSchemas.ts
@@ -38,6 +38,15 @@
   submission: z.object({
     id: z.string(),
     queue: z.string(),
+    queueSettings: z
+      .object({
+        priority: z.number(),
+        maxAttempts: z.number(),
+        stretch: z.number(),
+        targetLatencyMs: z.number(),
+      })
+      .nullable()
+      .default(null),
     service: z.string(),
     workspace: z.string(),
     acceptedAt: z.number(),
--- a/src/control/callers/handleSubmit.ts
+++ b/src/control/callers/handleSubmit.ts
@@ -10,9 +10,11 @@
     return answerCaller(state, request.requestId, { type: 'accepted' });
   }
   if (!request.definition) return refuseCaller(state, request, 'invalid-job', now.at);
+  const { priority, maxAttempts, stretch, targetLatencyMs } = queue;
   const submission = {
     id,
     queue: queue.name,
+    queueSettings: { priority, maxAttempts, stretch, targetLatencyMs },
     service: queue.service,
     workspace,
     acceptedAt: now.wall,
--- a/src/control/jobs/Submission.ts
+++ b/src/control/jobs/Submission.ts
@@ -1,3 +1,4 @@
+import type { QueueSettings } from '../config/QueueSettings.js';
 import type { JobDefinition } from './JobDefinition.js';
 
 /** An accepted job. */
@@ -6,6 +7,11 @@
   id: string;
   /** Name of the queue. */
   queue: string;
+  /**
+   * Settings of the queue when it accepted the job, which hold until the job ends; null in records of
+   * former versions.
+   */
+  queueSettings: QueueSettings | null;
   /** Service whose workers run the tasks. */
   service: string;
   /** Name of the workspace, or empty if a public queue accepted the job without a known API key. */
--- a/test/control/simulation/submitJob.ts
+++ b/test/control/simulation/submitJob.ts
@@ -21,8 +21,8 @@
 interface JobOptions {
   /** Index of the VM that gets the request. */
   vm?: number;
-  /** First segment of the path: urgent or batch queue. */
-  queue?: 'u' | 'b';
+  /** First segment of the path: urgent or batch queue, or the one that every second version adds. */
+  queue?: 'u' | 'b' | 'x';
   operation?: 'submit' | 'show' | 'cancel';
   /** Run time of each task, which is also declared unless a step gives another estimate. */
   runMs?: number;
