--- a/src/control/createState.ts
+++ b/src/control/createState.ts
@@ -9,6 +9,8 @@
   afterKey: null,
   tailOffset: null,
   pendingReadId: 0,
+  readSentAt: Number.NEGATIVE_INFINITY,
+  endReadSentAt: Number.NEGATIVE_INFINITY,
   nextReadAt: 0,
   failedReads: 0,
   lastSuccessAt: Number.NEGATIVE_INFINITY,
--- a/src/control/lead/advanceTerm.ts
+++ b/src/control/lead/advanceTerm.ts
@@ -7,6 +7,7 @@
 import { stopIncompleteGangs } from '../runs/stopIncompleteGangs.js';
 import type { State } from '../State.js';
 import { closeStream } from '../streams/closeStream.js';
+import { isCurrent } from '../streams/isCurrent.js';
 import type { StreamName } from '../streams/StreamName.js';
 import { sendDuePolls } from '../workers/sendDuePolls.js';
 import type { Term } from './Term.js';
@@ -60,12 +61,14 @@
   return enterPhase(term, 'scheduling', now);
 };
 
-// Starts are persisted before they are sent, so a pass during a pending append gains nothing.
+// Starts are persisted before they are sent, so a pass during a pending append gains nothing. A leader that can't
+// read the journal doesn't know which jobs were cancelled.
 const mayPlace = (state: State, term: Term, now: Now): boolean =>
   term.placementDue &&
   now.at >= term.nextPlacementAt &&
   term.writers.runs.pending === null &&
-  state.shutdownAt === null;
+  state.shutdownAt === null &&
+  isCurrent(state, 'journal', now);
 
 const scheduleTasks: PhaseHandler = (state, term, now) => {
   const effects = sendDuePolls(state, term, now);
--- a/src/control/progress/finishAppend.ts
+++ b/src/control/progress/finishAppend.ts
@@ -5,6 +5,8 @@
 import { dropEndedPlans } from '../plans/dropEndedPlans.js';
 import { requeueTask } from '../runs/requeueTask.js';
 import { sendStart } from '../runs/sendStart.js';
+import type { State } from '../State.js';
+import { isCurrent } from '../streams/isCurrent.js';
 import type { PendingAppend } from './PendingAppend.js';
 import type { StreamWriter } from './StreamWriter.js';
 
@@ -15,18 +17,28 @@
 const computePauseMs = (append: PendingAppend, now: Now): number =>
   now.at - append.firstAttemptAt - (now.responsiveAt - append.firstAttemptResponsiveAt);
 
-/** Why the starts of an append must not be sent: another VM may lead by now and have given them up. */
+/**
+ * Why the starts of an append must not be sent: another VM may lead by now and have given them up, or their
+ * jobs may have been cancelled.
+ */
 const findWithdrawalCause = (
+  state: State,
   term: Term,
   append: PendingAppend,
   now: Now,
-): 'leader-paused' | 'lead-unconfirmed' | null => {
+): 'leader-paused' | 'lead-unconfirmed' | 'journal-behind' | null => {
   if (computePauseMs(append, now) > maxPauseMs) return 'leader-paused';
-  return isLeadConfirmed(term, now) ? null : 'lead-unconfirmed';
+  if (!isLeadConfirmed(term, now)) return 'lead-unconfirmed';
+  return isCurrent(state, 'journal', now) ? null : 'journal-behind';
 };
 
 /** Completes a successful append: sends or withdraws its starts and allows its ends to be acknowledged. */
-export const finishAppend = (term: Term, writer: StreamWriter, now: Now): Effect[] => {
+export const finishAppend = (
+  state: State,
+  term: Term,
+  writer: StreamWriter,
+  now: Now,
+): Effect[] => {
   const { pending: append } = writer;
   if (!append) return [];
   writer.pending = null;
@@ -41,7 +53,7 @@
   const starts = append.startsToSend.filter(
     ({ task, run }) => task.state === 'recording' && task.run === run,
   );
-  const withdrawalCause = findWithdrawalCause(term, append, now);
+  const withdrawalCause = findWithdrawalCause(state, term, append, now);
   const effects = starts.flatMap(({ task }) =>
     withdrawalCause ? requeueTask(term, task, withdrawalCause, now) : sendStart(term, task, now),
   );
--- a/src/control/progress/progressHandlers.ts
+++ b/src/control/progress/progressHandlers.ts
@@ -10,7 +10,7 @@
     const writer = term && findWriter(term, event.appendId);
     if (!term || !writer) return [];
     if (term.phase === 'fencing') writer.fenceEndOffset = event.endOffset;
-    return finishAppend(term, writer, event);
+    return finishAppend(state, term, writer, event);
   },
   appendFailed: (state, event) => {
     const append = state.term && findWriter(state.term, event.appendId)?.pending;
--- a/src/control/runs/RequeueCause.ts
+++ b/src/control/runs/RequeueCause.ts
@@ -13,4 +13,5 @@
   | 'not-listed'
   | 'worker-unusable'
   | 'leader-paused'
-  | 'lead-unconfirmed';
+  | 'lead-unconfirmed'
+  | 'journal-behind';
--- a/src/control/streams/Cursor.ts
+++ b/src/control/streams/Cursor.ts
@@ -10,6 +10,10 @@
   tailOffset: number | null;
   /** ID of the pending read, or 0. */
   pendingReadId: number;
+  /** Monotonic time at which the last read was sent. */
+  readSentAt: number;
+  /** Monotonic time at which the last read that returned the end of the stream was sent. */
+  endReadSentAt: number;
   /** Monotonic time before which no read is sent. */
   nextReadAt: number;
   /** Consecutive failed reads. */
--- a/src/control/streams/sendNextRead.ts
+++ b/src/control/streams/sendNextRead.ts
@@ -13,6 +13,7 @@
   if (cursor.phase === 'off' || cursor.pendingReadId !== 0 || now.at < cursor.nextReadAt) return [];
   state.lastCallId += 1;
   cursor.pendingReadId = state.lastCallId;
+  cursor.readSentAt = now.at;
   if (cursor.phase === 'pages') {
     return [
       {
--- a/src/control/streams/streamsHandlers.ts
+++ b/src/control/streams/streamsHandlers.ts
@@ -77,6 +77,7 @@
   const effects = handleReadSuccess(state, event, cursor);
   effects.push(...applyRecords(state, event));
   cursor.nextOffset = event.nextOffset;
+  if (event.nextOffset >= event.endOffset) cursor.endReadSentAt = cursor.readSentAt;
   const { readDelayMs, leaderReadDelayMs } = streamReadSettings[event.stream];
   cursor.nextReadAt = event.at + (state.term ? leaderReadDelayMs : readDelayMs);
   return [...effects, ...sendNextRead(state, event.stream, event)];
--- /dev/null
+++ b/test/control/cancelledJobs.test.ts
@@ -0,0 +1,34 @@
+import { expect, test } from '@jest/globals';
+import { advanceTime } from './simulation/advanceTime.js';
+import { createFakePlatform } from './simulation/createFakePlatform.js';
+import type { FakePlatform } from './simulation/FakePlatform.js';
+import { findLeader } from './simulation/findLeader.js';
+import { submitJob } from './simulation/submitJob.js';
+
+const listRunsOf = ({ runs }: FakePlatform, id: string) =>
+  runs.filter(({ task }) => task.startsWith(id.padStart(16, '0')));
+
+// Guards against a leader that writes but can't read: it started tasks of a job seconds after its cancelling had
+// been acknowledged by another VM.
+test('a leader that can not read the journal starts no tasks', () => {
+  const platform = createFakePlatform({ vms: 2, workers: 1 });
+  advanceTime(platform, 3000);
+  const leader = findLeader(platform)!;
+  const other = platform.vms.findIndex((vm) => vm !== leader);
+  submitJob(platform, 'a', { vm: other, runMs: 5000, gpu: 8 });
+  advanceTime(platform, 500);
+  submitJob(platform, 'b', { vm: other });
+  advanceTime(platform, 500);
+  platform.store.refusedReaderIds.add(leader.id);
+  advanceTime(platform, 100);
+  const requestId = submitJob(platform, 'b', { vm: other, operation: 'cancel' });
+  advanceTime(platform, 8000);
+  expect(platform.answers.get(requestId)).toEqual({ type: 'accepted' });
+  expect(findLeader(platform)).toBe(leader);
+  expect(listRunsOf(platform, 'b')).toHaveLength(0);
+  platform.store.refusedReaderIds.clear();
+  submitJob(platform, 'c', { vm: other });
+  advanceTime(platform, 3000);
+  expect(listRunsOf(platform, 'c')).toHaveLength(1);
+  expect(listRunsOf(platform, 'b')).toHaveLength(0);
+});
--- a/test/control/simulation/FakeStore.ts
+++ b/test/control/simulation/FakeStore.ts
@@ -32,6 +32,8 @@
   fences: Record<StreamName, FakeFence>;
   /** Whether every call is refused. */
   refusing: boolean;
+  /** IDs of the VMs whose reads are refused, while their appends are served. */
+  refusedReaderIds: Set<string>;
   /** Whether every call is left unanswered and has no effect. */
   unresponsive: boolean;
   /** Share of appends that are applied but not answered. */
--- a/test/control/simulation/createFakePlatform.ts
+++ b/test/control/simulation/createFakePlatform.ts
@@ -168,6 +168,7 @@
       pendingReads: forEachStream(() => []),
       fences: forEachStream(createFence),
       refusing: false,
+      refusedReaderIds: new Set(),
       unresponsive: false,
       lostAnswerShare: 0,
     },
--- a/test/control/simulation/serveStore.ts
+++ b/test/control/simulation/serveStore.ts
@@ -114,7 +114,8 @@
       scheduleAfter(platform, effect.timeoutMs, () => reply(buildTimeout(effect)));
       return;
     }
-    if (platform.store.refusing || vm.partitionedFromStore) {
+    const isRefusedRead = effect.type !== 'append' && platform.store.refusedReaderIds.has(vm.id);
+    if (platform.store.refusing || vm.partitionedFromStore || isRefusedRead) {
       reply(buildRefusal(effect));
       return;
     }
