Keep a cancellation that is read before its submission

Cause: the leader's plan of a new submission ignored that the job was already marked as cancelled. Ruled out: the start of a term, which ends such plans already.

Change: a submission of a cancelled job ends its new plan as cancelled.

--- a/src/control/journal/recordHandlers.ts
+++ b/src/control/journal/recordHandlers.ts
@@ -13,7 +13,7 @@
 /** The handlers that apply each type of record to the state. */
 export const recordHandlers: RecordHandlerTable = {
   config: (state, { config }) => applyConfig(state, config),
-  submission: (state, { submission }) => applySubmission(state, submission),
+  submission: (state, { submission }, now) => applySubmission(state, submission, now),
   cancellation: (state, { id }, now) => applyCancellation(state, id, now),
   status: applyStatus,
   progress: applyProgress,
