Double the limit for a run without progress with each restart

Callers saw tasks of 15 minutes without a declared run time that never ended (LOST): a run whose whole percent stands still for 4.5 s was stopped, started again and stopped for ever.

Evidence: 44 starts of one task in 200 s on the fake platform, whose worker ran it well. Ruled out: a worker that stands still, as the percent moved, only more slowly than the limit.

Change: the limit doubles each time a run of the task was stopped for this, so that a slow task loses a bounded amount of work. Weighed and left: no stop without another worker that fits. The count isn't stored; a new leader begins anew.

--- a/src/control/plans/Task.ts
+++ b/src/control/plans/Task.ts
@@ -37,6 +37,8 @@
   stopReason: StopReason | null;
   /** Monotonic time at which the last stop was sent, or null. */
   stopSentAt: number | null;
+  /** How often a run of it was stopped because it made no progress. */
+  stalls: number;
   /** Progress in the worker's last listing, 0 to 100. */
   percent: number;
   /** Monotonic time at which `percent` last changed. */
--- a/src/control/plans/createTask.ts
+++ b/src/control/plans/createTask.ts
@@ -26,6 +26,7 @@
   confirmedAt: Number.NEGATIVE_INFINITY,
   stopReason: null,
   stopSentAt: null,
+  stalls: 0,
   percent: 0,
   percentChangedAt: at,
   paceBaseline: { percent: 0, at, logPace: null },
--- a/src/control/workers/isStalled.ts
+++ b/src/control/workers/isStalled.ts
@@ -8,7 +8,8 @@
 
 /**
  * Whether a run that should make progress has shown none for a tenth of its declared time, at the time
- * at which its worker sent the listing; this VM may have handled it much later.
+ * at which its worker sent the listing; this VM may have handled it much later. The limit doubles with each
+ * restart: if a restart didn't help, the task is slow rather than its worker.
  */
 export const isStalled = (step: StepPlan, task: Task, listedAt: number): boolean =>
   task.state === 'running' &&
@@ -17,4 +18,4 @@
   // Reported progress is rough: a straggler shows 100 % long before it ends.
   task.percent < maxPercent &&
   listedAt - Math.max(task.stateSince, task.percentChangedAt) >
-    Math.max(minStallMs, step.definition.estimateMs / 10);
+    Math.max(minStallMs, step.definition.estimateMs / 10) * 2 ** task.stalls;
--- a/src/control/workers/stopStalledRuns.ts
+++ b/src/control/workers/stopStalledRuns.ts
@@ -28,6 +28,9 @@
   return [
     { type: 'count', name: 'workers_set_aside', reason: 'no-progress' },
     { type: 'log', level: 'warn', code: 'worker_set_aside', fields },
-    ...stalled.flatMap((task) => stopTask(term, task, 'no-progress', now)),
+    ...stalled.flatMap((task) => {
+      task.stalls += 1;
+      return stopTask(term, task, 'no-progress', now);
+    }),
   ];
 };
