Answer open requests before the process ends

The caller of a submission got a broken connection where 504 was owed: a process that shut down while the store answered nothing ended with the request open.

Cause: the append is retried until the caller's deadline, which may lie beyond the exit, and the exit waits for nothing after its limit.

Change: 300 ms before that limit, requests whose append has no answer are answered as of unknown outcome.

Test: the minimised scenario in regressions.test.ts failed before and passes now.

--- a/src/control/shutdown/shutdownHandlers.ts
+++ b/src/control/shutdown/shutdownHandlers.ts
@@ -1,3 +1,4 @@
+import { abortCallerAppend } from '../callers/abortCallerAppend.js';
 import type { Effect } from '../Effect.js';
 import { endTerm } from '../lead/endTerm.js';
 import type { HandlerTable } from '../HandlerTable.js';
@@ -11,6 +12,8 @@
 const minDrainMs = 3000;
 // Part of the grace period that is reserved for the exit itself.
 const exitMarginMs = 700;
+// Time before the exit at which requests without an outcome are answered, so that the answers are still sent.
+const answerMarginMs = 300;
 // Longest wait for pending appends; after it the term ends without a resignation record.
 const resignTimeoutMs = 500;
 
@@ -39,6 +42,15 @@
   return [...sendAppend(state, term, resignation), ...endTerm(state, 'resigned', now)];
 };
 
+/** Answers the requests whose append has no answer yet, because the process ends before their deadline. */
+const abortPendingAppends = (state: State, now: Now): Effect[] => {
+  const answerLimitMs = state.bounds.graceMs - exitMarginMs - answerMarginMs;
+  if (state.shutdownAt === null || now.at - state.shutdownAt < answerLimitMs) return [];
+  return [...state.callers.appendsByKey.values()].flatMap((append) =>
+    abortCallerAppend(state, append, 'store-unanswered', now),
+  );
+};
+
 const finishShutdown = (state: State, now: Now): Effect[] => {
   if (state.shutdownAt === null) return [];
   const passedMs = now.at - state.shutdownAt;
@@ -51,5 +63,9 @@
 /** Shut down without dropping requests: report not ready, resign leadership, drain, then exit. */
 export const shutdownHandlers: HandlerTable = {
   shutdownRequested: startShutdown,
-  tick: (state, event) => [...resignLeadership(state, event), ...finishShutdown(state, event)],
+  tick: (state, event) => [
+    ...resignLeadership(state, event),
+    ...finishShutdown(state, event),
+    ...abortPendingAppends(state, event),
+  ],
 };
--- a/test/control/fuzz/regressions.test.ts
+++ b/test/control/fuzz/regressions.test.ts
@@ -118,6 +118,22 @@
       ['cancel', 0, 0, 100],
     ],
   ],
+  // Seed 9191, run 519. The store answered nothing while a VM shut down, and the process ended with a request
+  // whose append had no answer yet: the caller got none either.
+  [
+    'a request is answered before its VM exits',
+    1,
+    [
+      ['terminateVm', 0, 11, 100],
+      ['submit', 317, 0, 100],
+      ['submit', 187, 0, 100],
+      ['submit', 236, 0, 100],
+      ['submit', 812, 0, 100],
+      ['cutZone', 501, 11, 100],
+      ['submit', 422, 2, 100],
+      ['submit', 0, 0, 100],
+    ],
+  ],
 ];
 
 // Guards against faults that the fuzzer found before; the rows are their minimised scenarios.
