--- a/test/control/daemon.test.ts
+++ b/test/control/daemon.test.ts
@@ -10,6 +10,7 @@
 import { findRunViolations } from './simulation/findRunViolations.js';
 import { findLeader } from './simulation/findLeader.js';
 import { advanceTime } from './simulation/advanceTime.js';
+import { findUpVmIndex } from './simulation/findUpVmIndex.js';
 import { getJobState } from './simulation/getJobState.js';
 import { submitJob } from './simulation/submitJob.js';
 
@@ -51,13 +52,7 @@
   killVm(findLeader(platform)!);
   advanceTime(platform, 8000);
   expect(platform.runs.map(({ kind }) => kind)).toEqual(Array(4).fill('done'));
-  expect(
-    getJobState(
-      platform,
-      'a',
-      platform.vms.findIndex(({ up }) => up),
-    ),
-  ).toBe('completed');
+  expect(getJobState(platform, 'a', findUpVmIndex(platform))).toBe('completed');
 });
 
 // Guards against unanswered polls that are taken to renew the lease of a crashed worker forever.
--- a/test/control/manyEnds.test.ts
+++ b/test/control/manyEnds.test.ts
@@ -2,6 +2,7 @@
 import { advanceTime } from './simulation/advanceTime.js';
 import { createFakePlatform, killVm } from './simulation/createFakePlatform.js';
 import { findLeader } from './simulation/findLeader.js';
+import { findUpVmIndex } from './simulation/findUpVmIndex.js';
 import { getJobState } from './simulation/getJobState.js';
 import { submitJob } from './simulation/submitJob.js';
 
@@ -33,11 +34,5 @@
   killVm(findLeader(platform)!);
   advanceTime(platform, 9000);
   expect(platform.runs).toHaveLength(600);
-  expect(
-    getJobState(
-      platform,
-      'a',
-      platform.vms.findIndex(({ up }) => up),
-    ),
-  ).toBe('completed');
+  expect(getJobState(platform, 'a', findUpVmIndex(platform))).toBe('completed');
 });
--- a/test/control/occurrences.test.ts
+++ b/test/control/occurrences.test.ts
@@ -4,6 +4,7 @@
 import { createFakePlatform, killVm } from './simulation/createFakePlatform.js';
 import { findLeader } from './simulation/findLeader.js';
 import { findRunViolations } from './simulation/findRunViolations.js';
+import { findUpVmIndex } from './simulation/findUpVmIndex.js';
 import { getJobState } from './simulation/getJobState.js';
 import { readNewestRecords } from './simulation/readNewestRecords.js';
 import { simulationStartMs } from './simulation/simulationStartMs.js';
@@ -49,8 +50,7 @@
   expect(measureBytes()[0]).toBeLessThan(2000);
   killVm(findLeader(platform)!);
   advanceTime(platform, 15_000);
-  const survivor = platform.vms.findIndex(({ up }) => up);
-  expect(getJobState(platform, 'a', survivor)).toBe('completed');
+  expect(getJobState(platform, 'a', findUpVmIndex(platform))).toBe('completed');
   expect(findRunViolations(platform)).toEqual([]);
   expect(new Set(platform.runs.map(({ task }) => task)).size).toBe(600);
 }, 60_000);
--- a/test/control/queueSettings.test.ts
+++ b/test/control/queueSettings.test.ts
@@ -3,6 +3,7 @@
 import { createFakePlatform, killVm } from './simulation/createFakePlatform.js';
 import type { FakePlatform } from './simulation/FakePlatform.js';
 import { findLeader } from './simulation/findLeader.js';
+import { findUpVmIndex } from './simulation/findUpVmIndex.js';
 import { getJobState } from './simulation/getJobState.js';
 import { publishConfig } from './simulation/publishConfig.js';
 import { submitJob } from './simulation/submitJob.js';
@@ -46,6 +47,5 @@
   advanceTime(platform, 2000);
   failFirstRun(platform);
   expect(listRunKinds(platform)).toEqual(['failed', 'done']);
-  const survivor = platform.vms.findIndex(({ up }) => up);
-  expect(getJobState(platform, 'a', survivor)).toBe('completed');
+  expect(getJobState(platform, 'a', findUpVmIndex(platform))).toBe('completed');
 });
