Log on what the loss of a run rests

Cause: run_over named its cause only, so a record could not tell a worker that left from an entry that lapsed while the store was away, or from a lease of a former term. Change: run_over of a run whose end nobody saw, and worker_gone, have the time since the worker's last listing, what is left of its lease, its entry, the time since the removal was read, and the incarnation. Result: test/control/lostRuns.test.ts; no decision changes.

--- a/src/control/runs/requeueTask.ts
+++ b/src/control/runs/requeueTask.ts
@@ -5,6 +5,7 @@
 import { isJobEnded } from '../plans/isJobEnded.js';
 import type { Task } from '../plans/Task.js';
 import { recordUsage } from '../usage/recordUsage.js';
+import { describeWorkerView } from '../workers/describeWorkerView.js';
 import { releaseResources } from '../workers/releaseResources.js';
 import type { RequeueCause } from './RequeueCause.js';
 
@@ -20,7 +21,8 @@
 export const requeueTask = (term: Term, task: Task, cause: RequeueCause, now: Now): Effect[] => {
   const worker = term.workers.get(task.workerId);
   if (worker) releaseResources(worker, task);
-  if (worker && unobservedEndCauses.includes(cause)) {
+  const isUnobserved = unobservedEndCauses.includes(cause);
+  if (worker && isUnobserved) {
     const unobserved = { unobservedFrom: worker.lastListedAt, unobservedTo: now.at };
     recordUsage(term, task, 'unknown', { at: now.at, ...unobserved }, now);
   }
@@ -35,6 +37,7 @@
     cause,
     state: task.state,
     failures: task.failures,
+    ...(worker && isUnobserved ? describeWorkerView(worker, now) : {}),
   };
   task.state = 'waiting';
   task.stateSince = now.at;
--- a/src/control/workers/applyWorkerRecord.ts
+++ b/src/control/workers/applyWorkerRecord.ts
@@ -1,6 +1,7 @@
 import type { Effect } from '../Effect.js';
 import type { Now } from '../Now.js';
 import type { State } from '../State.js';
+import { describeWorkerView } from './describeWorkerView.js';
 import { getOrCreateWorker } from './getOrCreateWorker.js';
 import type { WorkerEntry } from './WorkerEntry.js';
 
@@ -20,7 +21,7 @@
   if (!entry) {
     if (!previous && !wasInvalid) return [];
     worker.removedAt = now.at;
-    const fields = { worker: id, tasks: worker.tasks.size };
+    const fields = { worker: id, tasks: worker.tasks.size, ...describeWorkerView(worker, now) };
     return [{ type: 'log', level: 'info', code: 'worker_gone', fields }];
   }
   worker.removedAt = null;
