Free no task because a draining worker's entry is gone

Callers saw one task run on two workers at once. Cause: a draining worker that missed a poll counted as gone if its registry entry's removal was read within 4/3 heartbeats of its last answer. An entry also lapses while nobody can write to the store, and the removal may be read at any later time: the time of reading was taken for the time of leaving, and absence for an end.

Change: only a listed end, a lease that is over and a later incarnation free a task. Draining workers are granted leases of 3 s and polled twice a second, so that tasks wait briefly for those that have left; a failover still renews in time (test). "tasks of a drained worker restart as soon as it leaves" asserted the unsound promise: it could pass only by starting a task within a lease that may still be in use. It now asserts a restart within 4 s of the leave, below the lease of 10 s, and the new tests assert that nothing runs twice. heartbeat_ms of the settings is no longer read.

--- a/src/control/TimingBounds.ts
+++ b/src/control/TimingBounds.ts
@@ -6,6 +6,4 @@
   statusKeepMs: number;
   /** Time from the shutdown request until the process is killed. */
   graceMs: number;
-  /** Interval of a worker's heartbeats to the registry, which removes it after three missed ones. */
-  heartbeatMs: number;
 }
--- a/src/control/runs/RequeueCause.ts
+++ b/src/control/runs/RequeueCause.ts
@@ -8,7 +8,6 @@
   | WorkerRefusal
   | StopReason
   | 'worker-restarted'
-  | 'worker-left'
   | 'lease-over'
   | 'not-listed'
   | 'worker-unusable'
--- a/src/control/runs/requeueTask.ts
+++ b/src/control/runs/requeueTask.ts
@@ -12,7 +12,6 @@
 // Causes that mean that the run may have been running, but its end was not observed.
 const unobservedEndCauses: readonly RequeueCause[] = [
   'worker-restarted',
-  'worker-left',
   'lease-over',
   'not-listed',
 ];
--- a/src/control/workers/sendPoll.ts
+++ b/src/control/workers/sendPoll.ts
@@ -10,8 +10,12 @@
 // Outlasts a failover and most network partitions; tasks of a worker that crashed for good wait as long
 // before they are requeued.
 const targetLeaseMs = 10_000;
+// The runs of a draining worker that has left are requeued when its lease is over. It is polled more often, so that the
+// short lease still outlasts a failover.
+const drainingLeaseMs = 3000;
 // A poll is answered as soon as a run ends; the wait limits how often a worker without ends is polled.
 const pollWaitMs = 1500;
+const drainingPollWaitMs = 500;
 const responseTimeoutMs = 700;
 
 /**
@@ -28,21 +32,21 @@
   // none: the start of a run brings its own. A leader that may have a successor grants none.
   const renewsLease =
     clock !== null && worker.failedPolls === 0 && !isIdle(worker) && isLeadConfirmed(term, now);
-  const leaseMs = Math.min(targetLeaseMs, state.bounds.maxLeaseMs);
+  const leaseMs = Math.min(
+    worker.draining ? drainingLeaseMs : targetLeaseMs,
+    state.bounds.maxLeaseMs,
+  );
+  const longestWaitMs = worker.draining ? drainingPollWaitMs : pollWaitMs;
   const expiresAt = renewsLease ? clock + leaseMs : null;
   if (expiresAt !== null) worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, expiresAt);
   worker.pollSentAt = now.at;
   const acknowledgedEnd = chooseAcknowledgedEnd(worker);
   // Without a renewal, the poll is to show the worker's clock or that a partition has healed. Ends that
   // are not persisted yet are listed again at once anyway. An acknowledgement in a poll that waits could
-  // reach a new incarnation that has ended as many runs by then. A worker that was idle was last listed
-  // too long ago to tell a leaving worker from a partitioned one.
+  // reach a new incarnation that has ended as many runs by then.
   const answersAtOnce =
-    !renewsLease ||
-    worker.lastAppliedEnd > worker.lastPersistedEnd ||
-    acknowledgedEnd > 0 ||
-    now.at - worker.lastListedAt > pollWaitMs;
-  const waitMs = answersAtOnce ? 0 : pollWaitMs;
+    !renewsLease || worker.lastAppliedEnd > worker.lastPersistedEnd || acknowledgedEnd > 0;
+  const waitMs = answersAtOnce ? 0 : longestWaitMs;
   return [
     {
       type: 'callWorker',
