Name the timing of polls in one table, and the widest step as such

Cause: the short lease and wait of draining workers stood as two more constants with conditions in sendPoll, and describeRecord had a computePeakGpu that is another than that of the plans. Change: a table of timings by whether the worker stays, and computeWidestStepGpu. No behaviour changes; test/control passes.

--- a/src/control/callers/describeRecord.ts
+++ b/src/control/callers/describeRecord.ts
@@ -3,7 +3,7 @@
 import type { LogFields } from '../LogFields.js';
 
 /** Computes the accelerators of the job's widest step with all of its tasks running at once. */
-const computePeakGpu = ({ definition }: Submission): number =>
+const computeWidestStepGpu = ({ definition }: Submission): number =>
   Math.max(...definition.steps.map(({ count, need }) => count * need.gpu));
 
 /** Builds the log fields that describe a caller's record. */
@@ -14,6 +14,6 @@
     record: record.type,
     queue: submission.queue,
     workspace: submission.workspace,
-    gpu: computePeakGpu(submission),
+    gpu: computeWidestStepGpu(submission),
   };
 };
--- a/src/control/workers/sendPoll.ts
+++ b/src/control/workers/sendPoll.ts
@@ -7,15 +7,18 @@
 import { isIdle } from './isIdle.js';
 import type { Worker } from './Worker.js';
 
-// Outlasts a failover and most network partitions; tasks of a worker that crashed for good wait as long
-// before they are requeued.
-const targetLeaseMs = 10_000;
-// The runs of a draining worker that has left are requeued when its lease is over. It is polled more often, so that the
-// short lease still outlasts a failover.
-const drainingLeaseMs = 3000;
-// A poll is answered as soon as a run ends; the wait limits how often a worker without ends is polled.
-const pollWaitMs = 1500;
-const drainingPollWaitMs = 500;
+interface PollTiming {
+  /** Tasks of a worker that crashed or left wait as long before they are requeued. */
+  leaseMs: number;
+  /** A poll is answered as soon as a run ends; the wait limits how often a worker without ends is polled. */
+  waitMs: number;
+}
+
+/** Both leases outlast a failover; the one of workers that stay outlasts most network partitions, too. */
+const pollTimings: Record<'staying' | 'draining', PollTiming> = {
+  staying: { leaseMs: 10_000, waitMs: 1500 },
+  draining: { leaseMs: 3000, waitMs: 500 },
+};
 const responseTimeoutMs = 700;
 
 /**
@@ -32,12 +35,8 @@
   // none: the start of a run brings its own. A leader that may have a successor grants none.
   const renewsLease =
     clock !== null && worker.failedPolls === 0 && !isIdle(worker) && isLeadConfirmed(term, now);
-  const leaseMs = Math.min(
-    worker.draining ? drainingLeaseMs : targetLeaseMs,
-    state.bounds.maxLeaseMs,
-  );
-  const longestWaitMs = worker.draining ? drainingPollWaitMs : pollWaitMs;
-  const expiresAt = renewsLease ? clock + leaseMs : null;
+  const timing = pollTimings[worker.draining ? 'draining' : 'staying'];
+  const expiresAt = renewsLease ? clock + Math.min(timing.leaseMs, state.bounds.maxLeaseMs) : null;
   if (expiresAt !== null) worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, expiresAt);
   worker.pollSentAt = now.at;
   const acknowledgedEnd = chooseAcknowledgedEnd(worker);
@@ -46,7 +45,7 @@
   // reach a new incarnation that has ended as many runs by then.
   const answersAtOnce =
     !renewsLease || worker.lastAppliedEnd > worker.lastPersistedEnd || acknowledgedEnd > 0;
-  const waitMs = answersAtOnce ? 0 : longestWaitMs;
+  const waitMs = answersAtOnce ? 0 : timing.waitMs;
   return [
     {
       type: 'callWorker',
