Stop a run whose start has no answer after any restart

Cause: when a worker restarted, a run that was being stopped was given up at once unless its stop's reason was `start-unanswered`.

Ruled out: a stop whose answer is missing. Such a run was kept already, and the stop repeated.

Change: the rule asks whether the run was ever known to run, not why it is stopped. `Task.stopReason` had no other reader and goes.

Measured: the test failed before ("a.0.0.1 runs twice: w1/2, w0/1", "w0 is overcommitted: 16 of 8 accelerators") and passes now; test/control passes (132 tests).

--- a/src/control/plans/Task.ts
+++ b/src/control/plans/Task.ts
@@ -1,5 +1,4 @@
 import type { Resources } from '../Resources.js';
-import type { StopReason } from './StopReason.js';
 import type { TaskState } from './TaskState.js';
 
 /** The leader's view of one task of a job. */
@@ -34,7 +33,6 @@
    * stop is unanswered.
    */
   confirmedAt: number;
-  stopReason: StopReason | null;
   /** Monotonic time at which the last stop was sent, or null. */
   stopSentAt: number | null;
   /** How often a run of it was stopped because it made no progress. */
--- a/src/control/plans/createTask.ts
+++ b/src/control/plans/createTask.ts
@@ -24,7 +24,6 @@
   startedAt: null,
   observedRunningAt: null,
   confirmedAt: Number.NEGATIVE_INFINITY,
-  stopReason: null,
   stopSentAt: null,
   stalls: 0,
   percent: 0,
--- a/src/control/runs/requeueTask.ts
+++ b/src/control/runs/requeueTask.ts
@@ -41,7 +41,6 @@
   };
   task.state = 'waiting';
   task.stateSince = now.at;
-  task.stopReason = null;
   task.stopSentAt = null;
   const log: Effect = { type: 'log', level: 'info', code: 'run_over', fields };
   const location = findTask(term, task);
--- a/src/control/runs/stopTask.ts
+++ b/src/control/runs/stopTask.ts
@@ -23,7 +23,6 @@
   };
   task.state = 'stopping';
   task.stateSince = now.at;
-  task.stopReason = reason;
   return [
     { type: 'count', name: 'stops', reason },
     { type: 'log', level: 'info', code: 'run_stopping', fields },
--- a/src/control/workers/handleWorkerRestart.ts
+++ b/src/control/workers/handleWorkerRestart.ts
@@ -44,9 +44,10 @@
   if (running.some((run) => run.task === task.name && run.run === task.run)) return [];
   recordLostUsage(term, worker, task, now);
   if (task.state === 'recording') return [];
-  // A start in flight may still reach the new incarnation; only a stop rules that out.
+  // A start in flight may still reach the new incarnation; only a stop rules that out, for whatever reason the former
+  // incarnation was told to stop the run.
   if (task.state === 'starting') return stopTask(term, task, 'start-unanswered', now);
-  if (task.state === 'stopping' && task.stopReason === 'start-unanswered') {
+  if (task.state === 'stopping' && task.observedRunningAt === null) {
     return sendStop(term, worker, task, now);
   }
   // The new incarnation confirmed it after the poll was sent, or may have ended it, so the next listing
