--- a/src/control/lead/advanceTerm.ts
+++ b/src/control/lead/advanceTerm.ts
@@ -4,6 +4,10 @@
 import { buildPlans } from '../plans/buildPlans.js';
 import { retryAppend } from '../progress/retryAppend.js';
 import { appendChanges } from '../progress/appendChanges.js';
+import { buildLeaderRecord } from '../progress/buildLeaderRecord.js';
+import { createAppend } from '../progress/createAppend.js';
+import type { LeaderStream } from '../progress/LeaderStream.js';
+import { sendAppend } from '../progress/sendAppend.js';
 import { stopIncompleteGangs } from '../runs/stopIncompleteGangs.js';
 import type { State } from '../State.js';
 import { closeStream } from '../streams/closeStream.js';
@@ -81,17 +85,24 @@
   return [...effects, ...appendChanges(state, term, now)];
 };
 
-const finishFencing: PhaseHandler = (state, term, now) => {
-  const { journal, runs } = term.writers;
-  if (!journal.pending && !runs.pending) {
+// Progress in the runs may belong to a job that was submitted a moment before. With the journal fenced last, its
+// submission precedes the fence there, up to which the journal is read.
+const fencingOrder: readonly LeaderStream[] = ['runs', 'journal'];
+
+/** Fences the former leader out of one stream after the other. */
+const fenceStreams: PhaseHandler = (state, term, now) => {
+  const stream = fencingOrder.find((name) => !Number.isFinite(term.writers[name].fenceEndOffset));
+  if (!stream) {
     term.fencedAt = now.at;
     return enterPhase(state, term, 'reading', now);
   }
-  return [...retryAppend(state, term, 'journal', now), ...retryAppend(state, term, 'runs', now)];
+  if (term.writers[stream].pending) return retryAppend(state, term, stream, now);
+  const fence = createAppend(term, stream, [buildLeaderRecord(state, term)], now);
+  return sendAppend(state, term, fence);
 };
 
 const phaseHandlers: Record<Term['phase'], PhaseHandler> = {
-  fencing: finishFencing,
+  fencing: fenceStreams,
   reading: finishReading,
   asking: finishAsking,
   scheduling: scheduleTasks,
--- a/src/control/lead/beginTerm.ts
+++ b/src/control/lead/beginTerm.ts
@@ -1,16 +1,10 @@
 import type { Effect } from '../Effect.js';
 import type { Now } from '../Now.js';
-import { buildLeaderRecord } from '../progress/buildLeaderRecord.js';
-import { createAppend } from '../progress/createAppend.js';
-import type { LeaderStream } from '../progress/LeaderStream.js';
 import type { StreamWriter } from '../progress/StreamWriter.js';
-import { sendAppend } from '../progress/sendAppend.js';
 import type { State } from '../State.js';
 import { openStream } from '../streams/openStream.js';
 import type { Term } from './Term.js';
 
-const leaderStreams: readonly LeaderStream[] = ['journal', 'runs'];
-
 const createWriter = (now: Now): StreamWriter => ({
   nextSequence: 0,
   pending: null,
@@ -18,7 +12,7 @@
   fenceEndOffset: Number.POSITIVE_INFINITY,
 });
 
-/** Begins a term: the first append to each leader stream fences the former leader out of it. */
+/** Begins a term, which first fences the former leader out of both leader streams. */
 export const beginTerm = (state: State, token: number, now: Now): Effect[] => {
   const term: Term = {
     token,
@@ -53,13 +47,9 @@
   state.leader.token = token;
   state.leader.vmId = state.self.vmId;
   state.leader.resigned = false;
-  const fencingAppends = leaderStreams.flatMap((stream) =>
-    sendAppend(state, term, createAppend(term, stream, [buildLeaderRecord(state, term)], now)),
-  );
   return [
     { type: 'count', name: 'terms_begun', reason: 'claimed' },
     { type: 'log', level: 'info', code: 'term_begun', fields: { token } },
-    ...fencingAppends,
     ...openStream(state, 'runs', now),
     ...openStream(state, 'workers', now),
   ];
