Raise the fencing token of a worker with its incarnation

Cause: a poll without an answer may be carried out seconds later, by the next incarnation of its worker. It acknowledges ends by their numbers, which begin anew there: ends that nobody had read were forgotten, several tasks of a live worker were given up together as `not-listed`, and ran again after they were done (TWICE). The same late poll could extend the lease of the new incarnation beyond what the leader reckons with.

Appends keep the term's token. Weighed: a bound on lateness (none is known), and a new term at each restart.

--- a/src/control/runs/buildStopCall.ts
+++ b/src/control/runs/buildStopCall.ts
@@ -1,5 +1,6 @@
 import type { Effect } from '../Effect.js';
 import type { Term } from '../lead/Term.js';
+import { computeFencingToken } from '../workers/computeFencingToken.js';
 import type { Worker } from '../workers/Worker.js';
 import { commandTimeoutMs } from './commandTimeoutMs.js';
 
@@ -8,7 +9,7 @@
   type: 'callWorker',
   workerId: worker.id,
   address: worker.address,
-  token: term.token,
+  token: computeFencingToken(term, worker),
   call: { type: 'stop', task, run },
   timeoutMs: commandTimeoutMs,
 });
--- a/src/control/runs/sendStart.ts
+++ b/src/control/runs/sendStart.ts
@@ -3,6 +3,7 @@
 import type { Now } from '../Now.js';
 import { findTask } from '../plans/findTask.js';
 import type { Task } from '../plans/Task.js';
+import { computeFencingToken } from '../workers/computeFencingToken.js';
 import { estimateClock } from '../workers/estimateClock.js';
 import { isSchedulable } from '../workers/isSchedulable.js';
 import { commandTimeoutMs } from './commandTimeoutMs.js';
@@ -45,7 +46,7 @@
       type: 'callWorker',
       workerId: worker.id,
       address: worker.address,
-      token: term.token,
+      token: computeFencingToken(term, worker),
       call: {
         type: 'start',
         task: task.name,
--- a/src/control/workers/Worker.ts
+++ b/src/control/workers/Worker.ts
@@ -16,6 +16,8 @@
   address: string;
   /** Incarnation in its last listing, or 0 before the first. */
   incarnation: number;
+  /** How often a listing showed a new incarnation in this term. */
+  restarts: number;
   /**
    * Its clock in its last listing, in milliseconds, and the monotonic time at which this VM handled the
    * listing; null before the first listing of an incarnation.
--- a/src/control/workers/WorkerEffect.ts
+++ b/src/control/workers/WorkerEffect.ts
@@ -6,7 +6,7 @@
       type: 'callWorker';
       workerId: string;
       address: string;
-      /** Fencing token of the leader's term. */
+      /** Fencing token, which rises with the leader's term and with the worker's incarnation. */
       token: number;
       call: WorkerCall;
       timeoutMs: number;
--- a/src/control/workers/getOrCreateWorker.ts
+++ b/src/control/workers/getOrCreateWorker.ts
@@ -10,6 +10,7 @@
   draining: false,
   address: '',
   incarnation: 0,
+  restarts: 0,
   clock: null,
   leaseExpiresAt: 0,
   lastListedAt: Number.NEGATIVE_INFINITY,
--- a/src/control/workers/handleWorkerRestart.ts
+++ b/src/control/workers/handleWorkerRestart.ts
@@ -70,6 +70,7 @@
     tasks: worker.tasks.size,
   };
   worker.incarnation = listing.incarnation;
+  worker.restarts += 1;
   worker.lastPersistedEnd = 0;
   worker.ackDue = false;
   worker.lastAppliedEnd = 0;
--- a/src/control/workers/sendPoll.ts
+++ b/src/control/workers/sendPoll.ts
@@ -3,6 +3,7 @@
 import type { State } from '../State.js';
 import { isLeadConfirmed } from '../lead/isLeadConfirmed.js';
 import type { Term } from '../lead/Term.js';
+import { computeFencingToken } from './computeFencingToken.js';
 import { estimateClock } from './estimateClock.js';
 import { isIdle } from './isIdle.js';
 import type { Worker } from './Worker.js';
@@ -48,7 +49,7 @@
       type: 'callWorker',
       workerId: worker.id,
       address: worker.address,
-      token: term.token,
+      token: computeFencingToken(term, worker),
       call: { type: 'poll', expiresAt, acknowledgedEnd, waitMs },
       timeoutMs: waitMs + responseTimeoutMs,
     },
