Let the first poll of a worker that was idle answer at once again

Cause: the condition was removed with the rule on workers that have left, for which alone it seemed to stand. Change: the condition is back, with its reason. Result: test/control/idleWorkers.test.ts failed before and passes now.

--- a/src/control/workers/sendPoll.ts
+++ b/src/control/workers/sendPoll.ts
@@ -21,6 +21,7 @@
   draining: { leaseMs: 3000, waitMs: 500 },
 };
 const responseTimeoutMs = 700;
+const maxSilenceMs = 1500;
 
 /**
  * Returns the number of the run ends to acknowledge, or 0. It is sent once, and only right after a
@@ -43,9 +44,13 @@
   const acknowledgedEnd = chooseAcknowledgedEnd(worker);
   // Without a renewal, the poll is to show the worker's clock or that a partition has healed. Ends that
   // are not persisted yet are listed again at once anyway. An acknowledgement in a poll that waits could
-  // reach a new incarnation that has ended as many runs by then.
+  // reach a new incarnation that has ended as many runs by then. A worker that was idle was last listed long
+  // ago: until it is listed again, it gets no further task, and a crash goes unnoticed.
   const answersAtOnce =
-    !renewsLease || worker.lastAppliedEnd > worker.lastPersistedEnd || acknowledgedEnd > 0;
+    !renewsLease ||
+    worker.lastAppliedEnd > worker.lastPersistedEnd ||
+    acknowledgedEnd > 0 ||
+    now.at - worker.lastListedAt > maxSilenceMs;
   const waitMs = answersAtOnce ? 0 : timing.waitMs;
   return [
     {
