Grant draining workers long leases while the store gives no answers

Ruled out: long leases for cuts between leader and worker, which can't be told from a leave. Another test bounds the wait after a brief drain.

--- a/src/control/workers/sendPoll.ts
+++ b/src/control/workers/sendPoll.ts
@@ -2,12 +2,15 @@
 import type { Now } from '../Now.js';
 import type { State } from '../State.js';
 import { isLeadConfirmed } from '../lead/isLeadConfirmed.js';
+import { maxConfirmationGapMs } from '../lead/maxConfirmationGapMs.js';
 import type { Term } from '../lead/Term.js';
 import { computeFencingToken } from './computeFencingToken.js';
 import { estimateClock } from './estimateClock.js';
 import { isIdle } from './isIdle.js';
 import type { Worker } from './Worker.js';
 
+type LeaseKind = 'staying' | 'draining';
+
 interface PollTiming {
   /** Tasks of a worker that crashed or left wait as long before they are requeued. */
   leaseMs: number;
@@ -16,7 +19,7 @@
 }
 
 /** Both leases outlast a failover; the one of workers that stay outlasts most network partitions, too. */
-const pollTimings: Record<'staying' | 'draining', PollTiming> = {
+const pollTimings: Record<LeaseKind, PollTiming> = {
   staying: { leaseMs: 10_000, waitMs: 1500 },
   draining: { leaseMs: 3000, waitMs: 500 },
 };
@@ -30,6 +33,10 @@
 const chooseAcknowledgedEnd = (worker: Worker): number =>
   worker.ackDue && worker.failedPolls === 0 ? worker.lastPersistedEnd : 0;
 
+/** While the store gives no answers, leases can't be renewed for long, so a draining worker gets a long one, too. */
+const chooseLeaseKind = (term: Term, worker: Worker, now: Now): LeaseKind =>
+  worker.draining && now.at - term.confirmedAt <= maxConfirmationGapMs ? 'draining' : 'staying';
+
 /** Polls a worker for its running and ended runs, and renews its lease. */
 export const sendPoll = (state: State, term: Term, worker: Worker, now: Now): Effect[] => {
   const clock = estimateClock(worker, now);
@@ -37,7 +44,7 @@
   // none: the start of a run brings its own. A leader that may have a successor grants none.
   const renewsLease =
     clock !== null && worker.failedPolls === 0 && !isIdle(worker) && isLeadConfirmed(term, now);
-  const timing = pollTimings[worker.draining ? 'draining' : 'staying'];
+  const timing = pollTimings[chooseLeaseKind(term, worker, now)];
   const expiresAt = renewsLease ? clock + Math.min(timing.leaseMs, state.bounds.maxLeaseMs) : null;
   if (expiresAt !== null) worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, expiresAt);
   worker.pollSentAt = now.at;
--- a/test/control/drainingWorkers.test.ts
+++ b/test/control/drainingWorkers.test.ts
@@ -1,6 +1,11 @@
 import { expect, test } from '@jest/globals';
 import { advanceTime } from './simulation/advanceTime.js';
-import { createFakePlatform, killVm, publishWorkerEntry } from './simulation/createFakePlatform.js';
+import {
+  createFakePlatform,
+  killVm,
+  killWorker,
+  publishWorkerEntry,
+} from './simulation/createFakePlatform.js';
 import { findLeader } from './simulation/findLeader.js';
 import { findRunViolations } from './simulation/findRunViolations.js';
 import { submitJob } from './simulation/submitJob.js';
@@ -69,3 +74,37 @@
   advanceTime(platform, 12_000);
   expect(platform.runs.map(({ kind }) => kind)).toEqual(['done', 'done']);
 });
+
+// Guards against short leases of draining workers that expire in an outage of the store that other leases outlast.
+test.each([4000, 5000, 6000])(
+  'runs of a draining worker outlast an outage of the store (%i ms)',
+  (outageMs) => {
+    const platform = createFakePlatform({ vms: 1, workers: 2, maxLeaseMs: 10_000 });
+    advanceTime(platform, 3000);
+    submitJob(platform, 'a', { runMs: 20_000, steps: [{ count: 2 }] });
+    advanceTime(platform, 500);
+    publishWorkerEntry(platform, platform.runs[0]!.workerId, 'draining');
+    advanceTime(platform, 9000);
+    platform.store.refusing = true;
+    advanceTime(platform, outageMs);
+    platform.store.refusing = false;
+    advanceTime(platform, 14_000);
+    expect(platform.runs.map(({ kind }) => kind)).toEqual(['done', 'done']);
+  },
+);
+
+// Guards against leases that are renewed up to the leave: the last long one, granted before the drain, bounds the wait.
+test('tasks of a worker that drained briefly wait for its last long lease at most', () => {
+  const platform = createFakePlatform({ vms: 1, workers: 2 });
+  advanceTime(platform, 3000);
+  submitJob(platform, 'a', { runMs: 20_000 });
+  advanceTime(platform, 500);
+  const { workerId } = platform.runs[0]!;
+  publishWorkerEntry(platform, workerId, 'draining');
+  advanceTime(platform, 2000);
+  killWorker(platform, workerId);
+  publishWorkerEntry(platform, workerId, 'gone');
+  advanceTime(platform, 4700);
+  expect(platform.runs).toHaveLength(2);
+  expect(findRunViolations(platform)).toEqual([]);
+});
