--- a/src/control/createState.ts
+++ b/src/control/createState.ts
@@ -5,6 +5,7 @@
 
 const createCursor = (): Cursor => ({
   phase: 'off',
+  pagesBegunAt: Number.NEGATIVE_INFINITY,
   nextOffset: 0,
   afterKey: null,
   tailOffset: null,
--- a/src/control/jobs/Job.ts
+++ b/src/control/jobs/Job.ts
@@ -6,6 +6,8 @@
   id: string;
   /** Null until the submission is read. */
   submission: Submission | null;
+  /** Monotonic time at which the submission was last read. */
+  submissionReadAt: number;
   /** Epoch milliseconds at which the job was cancelled, which may be before its submission; null if it wasn't. */
   cancelledAt: number | null;
   /** State last published by the leader. */
--- a/src/control/journal/applySubmission.ts
+++ b/src/control/journal/applySubmission.ts
@@ -10,6 +10,7 @@
 export const applySubmission = (state: State, submission: Submission, now: Now): Effect[] => {
   const { term } = state;
   const job = getOrCreateJob(state, submission.id);
+  job.submissionReadAt = now.at;
   if (job.submission) return [];
   job.submission = submission;
   // A term's earlier phases build the plans of all jobs later.
--- a/src/control/journal/getOrCreateJob.ts
+++ b/src/control/journal/getOrCreateJob.ts
@@ -8,6 +8,7 @@
   const job: Job = {
     id,
     submission: null,
+    submissionReadAt: Number.NEGATIVE_INFINITY,
     cancelledAt: null,
     state: 'queued',
     endedAt: 0,
--- a/src/control/streams/Cursor.ts
+++ b/src/control/streams/Cursor.ts
@@ -2,6 +2,8 @@
 export interface Cursor {
   /** `pages`: reads the newest record of each key; `tail`: follows new records. */
   phase: 'off' | 'pages' | 'tail';
+  /** Monotonic time at which the pages were last begun. */
+  pagesBegunAt: number;
   /** Offset of the next read in the `tail` phase. */
   nextOffset: number;
   /** Key after which the next page begins, or null for the first page. */
--- a/src/control/streams/openStream.ts
+++ b/src/control/streams/openStream.ts
@@ -8,6 +8,7 @@
 export const openStream = (state: State, stream: StreamName, now: Now): Effect[] => {
   const cursor = state.streams[stream];
   cursor.phase = 'pages';
+  cursor.pagesBegunAt = now.at;
   cursor.afterKey = null;
   cursor.tailOffset = null;
   cursor.pendingReadId = 0;
--- a/src/control/streams/streamsHandlers.ts
+++ b/src/control/streams/streamsHandlers.ts
@@ -2,6 +2,7 @@
 import type { EventOf } from '../EventOf.js';
 import type { HandlerTable } from '../HandlerTable.js';
 import { applySafely } from '../journal/applySafely.js';
+import { dropUnlistedJobs } from '../journal/dropUnlistedJobs.js';
 import type { State } from '../State.js';
 import type { Cursor } from './Cursor.js';
 import { openStream } from './openStream.js';
@@ -53,6 +54,7 @@
   if (event.afterKey === null) {
     cursor.phase = 'tail';
     cursor.nextOffset = cursor.tailOffset;
+    if (event.stream === 'journal') dropUnlistedJobs(state, cursor.pagesBegunAt);
   }
   return [...effects, ...sendNextRead(state, event.stream, event)];
 };
