Simulation: workers that the store or the VMs alone can't reach

Cause: in the simulation an entry of the registry was removed only by a cut of the worker or its zone from everything. No worker was cut off from the store alone, and none drained for long and left. So the random scenarios couldn't meet a live worker without an entry, as in docs/incidents/draining-worker-after-an-outage.md.

An entry is written by one function, which knows all cuts: at the end of a zone's cut, a worker that is cut off otherwise stays without an entry.

--- a/test/control/simulation/FakePlatform.ts
+++ b/test/control/simulation/FakePlatform.ts
@@ -1,6 +1,7 @@
 import type { Effect } from '../../../src/control/Effect.js';
 import type { UntimedEvent } from '../../../src/control/UntimedEvent.js';
 import type { CallerAnswer } from '../../../src/control/callers/CallerAnswer.js';
+import type { WorkerCall } from '../../../src/control/workers/WorkerCall.js';
 import type { FakeGang } from './FakeGang.js';
 import type { FakeRun } from './FakeRun.js';
 import type { FakeStore } from './FakeStore.js';
@@ -33,6 +34,12 @@
   maxLeaseMs: number;
   /** IDs of the VMs and workers in a zone that is cut off: they reach each other only, and not the store. */
   cutIds: Set<string>;
+  /** IDs of the workers that can't write to the store; the VMs reach them unless another cut prevents it. */
+  storeCutWorkerIds: Set<string>;
+  /** IDs of the workers that no VM reaches; they write to the store unless another cut prevents it. */
+  vmCutWorkerIds: Set<string>;
+  /** Called with each start and stop as it is sent. */
+  callObservers: Set<(workerId: string, call: WorkerCall) => void>;
   /** Share of starts and stops that are unanswered and applied only after their timeout. */
   lateCallShare: number;
   /** Whether such a call is applied by a new incarnation if its worker has restarted; otherwise it is lost. */
--- a/test/control/simulation/createFakePlatform.ts
+++ b/test/control/simulation/createFakePlatform.ts
@@ -101,7 +101,7 @@
   storeRecord(platform, 'workers', { key: id, value: Buffer.alloc(0), decoded });
 };
 
-/** Starts or restarts a worker and registers it. */
+/** Starts or restarts a worker and registers it, unless it is cut off from the store. */
 export const startWorker = (platform: FakePlatform, id: string, gpu = 8): void => {
   const number = Number(id.slice(1));
   const entry = {
@@ -133,7 +133,7 @@
     stalled: false,
     pendingPolls: new Set(),
   });
-  publishWorkerEntry(platform, id, 'ready');
+  if (!platform.storeCutWorkerIds.has(id)) publishWorkerEntry(platform, id, 'ready');
 };
 
 /** Kills a worker; its runs end as `gone`. */
@@ -196,6 +196,9 @@
     violations: [],
     maxLeaseMs,
     cutIds: new Set(),
+    storeCutWorkerIds: new Set(),
+    vmCutWorkerIds: new Set(),
+    callObservers: new Set(),
     lateCallShare: 0,
     lostCallShare: 0,
     random: createRandom(options.seed ?? 1),
--- a/test/control/simulation/cutZone.ts
+++ b/test/control/simulation/cutZone.ts
@@ -1,5 +1,6 @@
 import { publishWorkerEntry } from './createFakePlatform.js';
 import type { FakePlatform } from './FakePlatform.js';
+import { registerWorker } from './registerWorker.js';
 import { scheduleAfter } from './scheduleAfter.js';
 
 // The registry removes an entry after three missed heartbeats.
@@ -20,8 +21,6 @@
   );
   scheduleAfter(platform, durationMs, () => {
     platform.cutIds = new Set();
-    listRemaining().forEach(({ id, draining }) =>
-      publishWorkerEntry(platform, id, draining ? 'draining' : 'ready'),
-    );
+    listRemaining().forEach(({ id }) => registerWorker(platform, id));
   });
 };
--- a/test/control/simulation/serveWorker.ts
+++ b/test/control/simulation/serveWorker.ts
@@ -195,6 +195,7 @@
 const isReachable = (platform: FakePlatform, vm: FakeVm, worker: FakeWorker): boolean =>
   worker.up &&
   !worker.partitioned &&
+  !platform.vmCutWorkerIds.has(worker.id) &&
   !vm.partitionedFromWorkers &&
   platform.cutIds.has(vm.id) === platform.cutIds.has(worker.id);
 
@@ -208,6 +209,7 @@
   const { workerId, token, call, timeoutMs } = effect;
   const sentAt = platform.now;
   const order = { vmId: vm.id, token, isLate: false };
+  if (call.type !== 'poll') platform.callObservers.forEach((observe) => observe(workerId, call));
   const worker = platform.workers.get(workerId);
   const reply = (answer: WorkerAnswer, delayMs: number): void =>
     scheduleAfter(platform, delayMs, () => {
