Scenarios: a registry that loses entries of live workers

Cause: the random scenarios met a removed entry only after a cut of the worker from everything or a crash, and a drain always ended in a crash 2.5 s later. They couldn't see that a worker whose entry is missing may run on, which is how the daemon started tasks twice (docs/incidents/draining-worker-after-an-outage.md).

Change: nine kinds of steps in a table of their own (registryHandlers): cuts of a worker from the store only or from the VMs only, an outage of the store in which entries lapse at any moment, deleted and garbled entries that the next heartbeat writes again, drains of 2 to 12 s that end with the worker's removal, a drain with cuts near the removal, and restarts of workers without an entry or at a start or stop. Entries come back up to 2 s after a cut or outage, as draining where the worker drains. A third family of scenarios combines them with long tasks, once for every four of the older families. Deleted and garbled entries and drains excuse nothing in the checks on cancelled jobs. No check has changed.

--- a/test/control/fuzz/ScenarioAction.ts
+++ b/test/control/fuzz/ScenarioAction.ts
@@ -1,4 +1,5 @@
 import type { LeaderKind } from './LeaderKind.js';
+import type { RegistryKind } from './RegistryKind.js';
 import type { SubmissionKind } from './SubmissionKind.js';
 
 /** One step of a random scenario. */
@@ -28,6 +29,7 @@
     | 'expireJournal'
     | 'delayAppends'
     | 'loseWorkerCalls'
+    | RegistryKind
     | LeaderKind;
   /** Time since the previous step. */
   afterMs: number;
--- a/test/control/fuzz/applyAction.ts
+++ b/test/control/fuzz/applyAction.ts
@@ -1,4 +1,5 @@
 import { cutZone } from '../simulation/cutZone.js';
+import { restartWorker } from '../simulation/restartWorker.js';
 import { scheduleAfter } from '../simulation/scheduleAfter.js';
 import {
   killVm,
@@ -8,13 +9,15 @@
   killWorker,
 } from '../simulation/createFakePlatform.js';
 import type { FakeVm } from '../simulation/FakeVm.js';
-import type { FakeWorker } from '../simulation/FakeWorker.js';
 import { publishConfig } from '../simulation/publishConfig.js';
+import { registerWorker } from '../simulation/registerWorker.js';
 import { submitJob } from '../simulation/submitJob.js';
 import type { ActionHandler } from './ActionHandler.js';
 import { buildFaultWindows } from './buildFaultWindows.js';
 import { cancelUntilFinal } from './cancelUntilFinal.js';
 import { getOrCreateList } from './getOrCreateList.js';
+import { getWorker } from './getWorker.js';
+import { registryHandlers } from './registryHandlers.js';
 import { resolveLeaderAction } from './resolveLeaderAction.js';
 import type { LeaderKind } from './LeaderKind.js';
 import type { Scenario } from './Scenario.js';
@@ -24,9 +27,6 @@
 const getVm = ({ platform }: Scenario, { target }: ScenarioAction): FakeVm =>
   platform.vms[target % platform.vms.length]!;
 
-const getWorker = ({ platform }: Scenario, { target }: ScenarioAction): FakeWorker =>
-  platform.workers.get(`w${target % platform.workers.size}`)!;
-
 const restartVm: ActionHandler = (scenario, action) => {
   const vm = getVm(scenario, action);
   if (!vm.up) return;
@@ -60,6 +60,7 @@
 /** Handlers by kind of step. */
 const handlers: Record<Exclude<ScenarioAction['kind'], LeaderKind>, ActionHandler> = {
   ...submissionHandlers,
+  ...registryHandlers,
   cancel: (scenario, { target }) => {
     const ids = [...scenario.requestIdsByJob.keys()];
     const id = ids[target % Math.max(1, ids.length)];
@@ -126,12 +127,8 @@
     });
   },
   crashWorker,
-  restartWorker: (scenario, action) => {
-    const worker = getWorker(scenario, action);
-    if (!worker.up) return;
-    killWorker(scenario.platform, worker.id);
-    startWorker(scenario.platform, worker.id);
-  },
+  restartWorker: (scenario, action) =>
+    restartWorker(scenario.platform, getWorker(scenario, action).id),
   partitionWorker: (scenario, action) => {
     const worker = getWorker(scenario, action);
     if (!worker.up || worker.partitioned) return;
@@ -146,8 +143,7 @@
     });
     scheduleAfter(platform, action.durationMs * 2, () => {
       worker.partitioned = false;
-      if (isSameIncarnation())
-        publishWorkerEntry(platform, worker.id, worker.draining ? 'draining' : 'ready');
+      if (isSameIncarnation()) registerWorker(platform, worker.id);
     });
   },
   // One VM and a third of the workers; long enough for a new leader to wait out the leases behind the cut.
@@ -163,7 +159,7 @@
     const worker = getWorker(scenario, action);
     if (!worker.up) return;
     worker.draining = true;
-    if (!worker.partitioned) publishWorkerEntry(scenario.platform, worker.id, 'draining');
+    registerWorker(scenario.platform, worker.id);
     scheduleAfter(scenario.platform, 2500, () => crashWorker(scenario, action));
   },
   failWorker: (scenario, action) => {
--- a/test/control/fuzz/buildFaultWindows.ts
+++ b/test/control/fuzz/buildFaultWindows.ts
@@ -59,6 +59,13 @@
   refuseReads: createBuilder('elsewhere', (durationMs) => 1.6 * durationMs),
   delayReads: createBuilder('elsewhere', keepMs),
   expireJournal: createBuilder('elsewhere', keepMs),
+  // "loss [...] on its links"; a worker that drains and a deleted entry disturb nothing.
+  cutWorkerFromStore: createBuilder('elsewhere', (durationMs) => 5000 + 1.5 * durationMs),
+  cutWorkerFromVms: createBuilder('elsewhere', keepMs),
+  lapseEntries: createBuilder('core', (durationMs) => 1.6 * durationMs),
+  drainThenCut: createBuilder('elsewhere', (durationMs) => 8500 + durationMs),
+  restartUnregistered: createBuilder('elsewhere', () => 0),
+  restartDuringCall: createBuilder('elsewhere', () => 3500),
   // Until the last append that was sent meanwhile is stored.
   delayAppends: createBuilder('elsewhere', (durationMs) => durationMs + 4000),
 };
--- a/test/control/fuzz/scenarioArbitrary.ts
+++ b/test/control/fuzz/scenarioArbitrary.ts
@@ -2,6 +2,7 @@
 import { cancelKinds } from './cancelKinds.js';
 import { faultFreeKinds } from './faultFreeKinds.js';
 import type { ScenarioAction } from './ScenarioAction.js';
+import { registryKinds } from './registryKinds.js';
 import { submissionKinds } from './submissionKinds.js';
 
 type Kind = ScenarioAction['kind'];
@@ -37,6 +38,7 @@
   'cutZone',
   'drainWorker',
   'failWorker',
+  ...registryKinds,
 ];
 
 const createAction = (
@@ -83,17 +85,35 @@
   )
   .map((storms) => storms.flat(2));
 
+const otherFaults = kinds.filter((kind) => ![...faultFreeKinds, ...registryKinds].includes(kind));
+
+/** Scenarios in which the registry loses entries of workers that run long tasks, beside one or two other faults. */
+const registryStorms = fc
+  .array(
+    fc.tuple(
+      createSteps(['submitLong', 'submitCheckpointing', 'submitLongRunning', 'submit'], 300, 4),
+      createSteps(registryKinds, 2500, 4),
+      createSteps(otherFaults, 2500, 2),
+    ),
+    { minLength: 1, maxLength: 3 },
+  )
+  .map((storms) => storms.flat(2));
+
 /** Random scenarios without and with faults; with faults, about half of the steps submit jobs on average. */
 export const scenarioArbitrary = {
   faultFree: createScenarios(fc.constantFrom(...faultFreeKinds)),
   withFaults: fc.oneof(
-    createScenarios(
-      fc.oneof(
-        { weight: 3, arbitrary: fc.constantFrom(...submissionKinds) },
-        { weight: 1, arbitrary: fc.constantFrom(...cancelKinds) },
-        { weight: 3, arbitrary: fc.constantFrom(...kinds) },
+    {
+      weight: 2,
+      arbitrary: createScenarios(
+        fc.oneof(
+          { weight: 3, arbitrary: fc.constantFrom(...submissionKinds) },
+          { weight: 1, arbitrary: fc.constantFrom(...cancelKinds) },
+          { weight: 3, arbitrary: fc.constantFrom(...kinds) },
+        ),
       ),
-    ),
-    cancelStorms,
+    },
+    { weight: 2, arbitrary: cancelStorms },
+    { weight: 1, arbitrary: registryStorms },
   ),
 };
