Regression: tasks of a draining worker that run twice

The leader gives up a running task with worker-left 3.8 s after the worker's last answer, with 2.3 s of its lease to go, and starts it elsewhere.

--- a/test/control/fuzz/regressions.test.ts
+++ b/test/control/fuzz/regressions.test.ts
@@ -134,6 +134,17 @@
       ['submit', 0, 0, 100],
     ],
   ],
+  // Seed 703, run 409. A draining worker couldn't write to the store, and no VM reached it at the removal of its
+  // entry. The leader gave up its tasks as those of a worker that had left and started them elsewhere.
+  [
+    'tasks of a draining worker without an entry run once',
+    275_748,
+    [
+      ['submitScheduled', 0, 0, 100],
+      ['submitCheckpointing', 0, 0, 4782],
+      ['drainThenCut', 884, 0, 4267],
+    ],
+  ],
 ];
 
 // Guards against faults that the fuzzer found before; the rows are their minimised scenarios.
