Scenarios: worker clocks that are 2 % slow

Cause: where only a lease that is over frees the runs of a silent worker, the bound on the worker's clock carries the guarantee alone, and every clock of the simulation kept the virtual time exactly.

Change: a worker's clock has a rate; the step slowClock lets it go on at 0.98 until the next restart. It is no fault in any check.

--- a/test/control/fuzz/ScenarioAction.ts
+++ b/test/control/fuzz/ScenarioAction.ts
@@ -24,6 +24,7 @@
     | 'cutZone'
     | 'drainWorker'
     | 'failWorker'
+    | 'slowClock'
     | 'refuseReads'
     | 'delayReads'
     | 'expireJournal'
--- a/test/control/fuzz/applyAction.ts
+++ b/test/control/fuzz/applyAction.ts
@@ -11,6 +11,7 @@
 import type { FakeVm } from '../simulation/FakeVm.js';
 import { publishConfig } from '../simulation/publishConfig.js';
 import { registerWorker } from '../simulation/registerWorker.js';
+import { setClockRate } from '../simulation/setClockRate.js';
 import { submitJob } from '../simulation/submitJob.js';
 import type { ActionHandler } from './ActionHandler.js';
 import { buildFaultWindows } from './buildFaultWindows.js';
@@ -41,6 +42,9 @@
   cancelUntilFinal(platform, id, vm % platform.vms.length, requestIds);
 };
 
+// "which may be 2% slow".
+const slowClockRate = 0.98;
+
 const delayableStreams = ['journal', 'workers', 'journal', 'config', 'journal', 'runs'] as const;
 
 const crashWorker: ActionHandler = (scenario, action) => {
@@ -169,6 +173,8 @@
       worker.failing = false;
     });
   },
+  slowClock: (scenario, action) =>
+    setClockRate(scenario.platform, getWorker(scenario, action), slowClockRate),
   refuseReads: (scenario, action) => {
     const { platform } = scenario;
     const { id } = getVm(scenario, action);
--- a/test/control/fuzz/scenarioArbitrary.ts
+++ b/test/control/fuzz/scenarioArbitrary.ts
@@ -38,6 +38,7 @@
   'cutZone',
   'drainWorker',
   'failWorker',
+  'slowClock',
   ...registryKinds,
 ];
 
--- a/test/control/simulation/FakeWorker.ts
+++ b/test/control/simulation/FakeWorker.ts
@@ -11,8 +11,10 @@
   draining: boolean;
   /** Whether no VM can reach it; its runs continue. */
   partitioned: boolean;
-  /** Virtual time of its start, which is the zero of its clock. */
-  bootAt: number;
+  /** Virtual time at the zero of its clock: its start, unless the rate of the clock has changed since. */
+  clockZeroAt: number;
+  /** Rate of its clock relative to virtual time. */
+  clockRate: number;
   /** Highest fencing token of a call so far. */
   highestToken: number;
   /** Time on its own clock at which its lease expires. */
--- a/test/control/simulation/advanceWorker.ts
+++ b/test/control/simulation/advanceWorker.ts
@@ -1,3 +1,4 @@
+import { computeLeaseEnd } from './computeLeaseEnd.js';
 import { endRun } from './endRun.js';
 import type { FakeRun } from './FakeRun.js';
 import type { FakeWorker } from './FakeWorker.js';
@@ -22,7 +23,7 @@
 export const advanceWorker = (platform: FakePlatform, worker: FakeWorker): void => {
   if (!worker.up) return;
   [...worker.running.values()].forEach((run) => {
-    const lapsesAt = worker.leaseExpiryMs + worker.bootAt;
+    const lapsesAt = computeLeaseEnd(worker);
     const endsAt = Math.min(run.dueAt, lapsesAt);
     // A stalled run does not complete, but it ends when its lease lapses.
     const stalled = endsAt !== lapsesAt && isStalled(platform, worker, run);
--- a/test/control/simulation/serveWorker.ts
+++ b/test/control/simulation/serveWorker.ts
@@ -4,6 +4,8 @@
 import { scheduleAfter } from './scheduleAfter.js';
 import { beginRunWork } from './beginRunWork.js';
 import { computeCheckpoint } from './computeCheckpoint.js';
+import { computeLeaseEnd } from './computeLeaseEnd.js';
+import { computeWorkerClock } from './computeWorkerClock.js';
 import type { FakeRun } from './FakeRun.js';
 import type { FakeVm } from './FakeVm.js';
 import type { FakeWorker } from './FakeWorker.js';
@@ -22,9 +24,6 @@
 /** Parses the run time in the spec of a task; the spec ends with `s` if the task saves checkpoints. */
 const parseRunMs = (spec: string): number => Number.parseInt(spec, 10);
 
-const computeWorkerClock = (platform: FakePlatform, worker: FakeWorker): number =>
-  platform.now - worker.bootAt;
-
 /** Schedules an update of the worker, so that due runs end even if no call arrives. */
 const scheduleAdvance = (platform: FakePlatform, worker: FakeWorker, delayMs: number): void =>
   scheduleAfter(platform, delayMs, () => advanceWorker(platform, worker));
@@ -35,7 +34,7 @@
     worker.leaseExpiryMs,
     Math.min(expiresAt, clock + platform.maxLeaseMs),
   );
-  scheduleAdvance(platform, worker, Math.max(0, worker.leaseExpiryMs - clock));
+  scheduleAdvance(platform, worker, Math.max(0, computeLeaseEnd(worker) - platform.now));
 };
 
 /** A call as the worker gets it, without its content. */
