--- a/test/control/fuzz/ScenarioAction.ts
+++ b/test/control/fuzz/ScenarioAction.ts
@@ -24,7 +24,7 @@
     | 'cutZone'
     | 'drainWorker'
     | 'failWorker'
-    | 'slowClock'
+    | 'slowClocks'
     | 'refuseReads'
     | 'delayReads'
     | 'expireJournal'
--- a/test/control/fuzz/applyAction.ts
+++ b/test/control/fuzz/applyAction.ts
@@ -173,8 +173,8 @@
       worker.failing = false;
     });
   },
-  slowClock: (scenario, action) =>
-    setClockRate(scenario.platform, getWorker(scenario, action), slowClockRate),
+  slowClocks: ({ platform }) =>
+    platform.workers.forEach((worker) => setClockRate(platform, worker, slowClockRate)),
   refuseReads: (scenario, action) => {
     const { platform } = scenario;
     const { id } = getVm(scenario, action);
--- a/test/control/fuzz/buildFaultWindows.ts
+++ b/test/control/fuzz/buildFaultWindows.ts
@@ -61,7 +61,7 @@
   expireJournal: createBuilder('elsewhere', keepMs),
   // "loss [...] on its links"; a worker that drains and a deleted entry disturb nothing.
   cutWorkerFromStore: createBuilder('elsewhere', (durationMs) => 5000 + 1.5 * durationMs),
-  cutWorkerFromVms: createBuilder('elsewhere', keepMs),
+  cutWorkerFromVms: createBuilder('elsewhere', (durationMs) => 2 * durationMs),
   lapseEntries: createBuilder('core', (durationMs) => 1.6 * durationMs),
   drainThenCut: createBuilder('elsewhere', (durationMs) => 8500 + durationMs),
   restartUnregistered: createBuilder('elsewhere', () => 0),
--- a/test/control/fuzz/registryHandlers.ts
+++ b/test/control/fuzz/registryHandlers.ts
@@ -35,7 +35,8 @@
     cutWorkerFromStore(platform, id, { durationMs, lapsesAfterMs: computeLapseMs(platform) });
   },
   cutWorkerFromVms: (scenario, action) =>
-    cutWorkerFromVms(scenario.platform, getBusyWorker(scenario, action).id, action.durationMs),
+    // At times longer than a lease.
+    cutWorkerFromVms(scenario.platform, getBusyWorker(scenario, action).id, 2 * action.durationMs),
   // The store is down for all; the entries of about half of the workers lapse meanwhile.
   lapseEntries: ({ platform }, action) => {
     const durationMs = 1.6 * action.durationMs;
--- a/test/control/fuzz/scenarioArbitrary.ts
+++ b/test/control/fuzz/scenarioArbitrary.ts
@@ -38,7 +38,7 @@
   'cutZone',
   'drainWorker',
   'failWorker',
-  'slowClock',
+  'slowClocks',
   ...registryKinds,
 ];
 
