--- a/test/control/simulation/serveWorker.ts
+++ b/test/control/simulation/serveWorker.ts
@@ -4,6 +4,8 @@
 import { scheduleAfter } from './scheduleAfter.js';
 import { beginRunWork } from './beginRunWork.js';
 import { computeCheckpoint } from './computeCheckpoint.js';
+import { computeLeaseEnd } from './computeLeaseEnd.js';
+import { computeWorkerClock } from './computeWorkerClock.js';
 import type { FakeRun } from './FakeRun.js';
 import type { FakeVm } from './FakeVm.js';
 import type { FakeWorker } from './FakeWorker.js';
@@ -22,9 +24,6 @@
 /** Parses the run time in the spec of a task; the spec ends with `s` if the task saves checkpoints. */
 const parseRunMs = (spec: string): number => Number.parseInt(spec, 10);
 
-const computeWorkerClock = (platform: FakePlatform, worker: FakeWorker): number =>
-  platform.now - worker.bootAt;
-
 /** Schedules an update of the worker, so that due runs end even if no call arrives. */
 const scheduleAdvance = (platform: FakePlatform, worker: FakeWorker, delayMs: number): void =>
   scheduleAfter(platform, delayMs, () => advanceWorker(platform, worker));
@@ -35,7 +34,7 @@
     worker.leaseExpiryMs,
     Math.min(expiresAt, clock + platform.maxLeaseMs),
   );
-  scheduleAdvance(platform, worker, Math.max(0, worker.leaseExpiryMs - clock));
+  scheduleAdvance(platform, worker, Math.max(0, computeLeaseEnd(worker) - platform.now));
 };
 
 /** A call as the worker gets it, without its content. */
@@ -195,6 +194,7 @@
 const isReachable = (platform: FakePlatform, vm: FakeVm, worker: FakeWorker): boolean =>
   worker.up &&
   !worker.partitioned &&
+  !platform.vmCutWorkerIds.has(worker.id) &&
   !vm.partitionedFromWorkers &&
   platform.cutIds.has(vm.id) === platform.cutIds.has(worker.id);
 
@@ -208,6 +208,7 @@
   const { workerId, token, call, timeoutMs } = effect;
   const sentAt = platform.now;
   const order = { vmId: vm.id, token, isLate: false };
+  if (call.type !== 'poll') platform.callObservers.forEach((observe) => observe(workerId, call));
   const worker = platform.workers.get(workerId);
   const reply = (answer: WorkerAnswer, delayMs: number): void =>
     scheduleAfter(platform, delayMs, () => {
