Let registry entries of the store stand-in lapse

Cause: the soak's registry entries stayed for good, so no soak met an entry that is removed though its worker lives, as the protocol allows after three missed heartbeats, also during an outage. Change: the stand-in takes heartbeats (`PUT /heartbeat`), writes an entry when it changes, and removes it 4.5 s after the last one; during an outage only with the fault `entriesExpire`, otherwise its time stands still. Records of other writers stay. Ruled out: lapses by the harness through the log's own calls, which an outage refuses.

--- a/standins/store/StoreEvent.ts
+++ b/standins/store/StoreEvent.ts
@@ -25,4 +25,6 @@
   | (ReadCall & { type: 'readRequested'; fromOffset: number; waitMs: number })
   /** `afterKey` is the last key of the previous page, or empty. */
   | (ReadCall & { type: 'newestRequested'; afterKey: string })
+  /** An empty value removes the entry. */
+  | { type: 'heartbeatReceived'; requestId: string; key: string; value: Buffer }
   | { type: 'faultsRequested'; requestId: string; faults: Partial<StoreFaults> };
--- a/standins/store/StoreState.ts
+++ b/standins/store/StoreState.ts
@@ -1,3 +1,4 @@
+import type { EntryHeartbeat } from './EntryHeartbeat.js';
 import type { StoreFaults } from './StoreFaults.js';
 import type { StorePoll } from './StorePoll.js';
 import type { TopicState } from './TopicState.js';
@@ -6,6 +7,8 @@
 export interface StoreState {
   topics: Map<string, TopicState>;
   polls: StorePoll[];
+  /** Last heartbeats of registered workers by key; entries of other writers have none and stay. */
+  heartbeats: Map<string, EntryHeartbeat>;
   faults: StoreFaults;
   /** State of the seeded random generator that chooses lost answers. */
   randomState: number;
--- a/standins/store/createStoreState.ts
+++ b/standins/store/createStoreState.ts
@@ -4,6 +4,7 @@
 export const createStoreState = (seed: number): StoreState => ({
   topics: new Map(),
   polls: [],
-  faults: { outage: 'none', lostShare: 0, refusedReads: null, delayMs: 0 },
+  heartbeats: new Map(),
+  faults: { outage: 'none', entriesExpire: false, lostShare: 0, refusedReads: null, delayMs: 0 },
   randomState: seed,
 });
--- /dev/null
+++ b/standins/store/registryTopic.ts
@@ -0,0 +1,2 @@
+/** Topic of the registry entries of workers. */
+export const registryTopic = 'keyed.servers';
--- a/standins/store/storeHandlers.ts
+++ b/standins/store/storeHandlers.ts
@@ -1,8 +1,10 @@
 import type { StandInHandlers } from '../shared/StandInHandlers.js';
 import { appendRecords } from './appendRecords.js';
 import { encodeRead } from './encodeRead.js';
+import { expireEntries } from './expireEntries.js';
 import { listNewest } from './listNewest.js';
 import { openTopic } from './openTopic.js';
+import { recordHeartbeat } from './recordHeartbeat.js';
 import type { StoreEffect } from './StoreEffect.js';
 import type { StoreEvent } from './StoreEvent.js';
 import type { StoreState } from './StoreState.js';
@@ -59,6 +61,11 @@
   }));
 };
 
+const keepEntries = ({ heartbeats }: StoreState, at: number): void =>
+  heartbeats.forEach((heartbeat) => {
+    heartbeat.receivedAt = at;
+  });
+
 /** Handlers of the store, by event type. */
 export const storeHandlers: StandInHandlers<StoreState, StoreEvent, StoreEffect> = {
   appendRequested: (state, event) => {
@@ -88,12 +95,26 @@
     );
   },
 
-  faultsRequested: (state, { requestId, faults }) => {
+  heartbeatReceived: (state, { requestId, key, value, at }) => {
+    const outageEffects = outageHandlers[state.faults.outage](requestId);
+    if (outageEffects) return outageEffects;
+    recordHeartbeat(state, key, value, at);
+    const pollAnswers = answerPolls(state, Number.NEGATIVE_INFINITY);
+    return [...pollAnswers, ...answerJson(state, requestId, 200, {})];
+  },
+
+  faultsRequested: (state, { requestId, faults, at }) => {
+    expireEntries(state, at);
+    const wasPaused = state.faults.outage !== 'none' && !state.faults.entriesExpire;
+    if (wasPaused) keepEntries(state, at);
     Object.assign(state.faults, faults);
     // Reads that are waiting when an outage begins stay unanswered.
     if (state.faults.outage !== 'none') state.polls = [];
     return [{ type: 'answer', requestId, status: 200, body: state.faults }];
   },
 
-  tick: (state, { at }) => answerPolls(state, at),
+  tick: (state, { at }) => {
+    expireEntries(state, at);
+    return answerPolls(state, at);
+  },
 };
--- a/test/standins/store/reduceStore.test.ts
+++ b/test/standins/store/reduceStore.test.ts
@@ -76,7 +76,7 @@
   expect(applyEvent(state, append('a'))).toEqual([{ type: 'wake', at: null }]);
   state.faults.outage = 'refuse';
   expect(findAnswer(applyEvent(state, append('b')), 'b')).toMatchObject({ status: 503 });
-  state.faults = { outage: 'none', lostShare: 1, refusedReads: null, delayMs: 0 };
+  Object.assign(state.faults, { outage: 'none', lostShare: 1 });
   expect(findAnswer(applyEvent(state, append('c')), 'c')).toBeUndefined();
   expect(state.topics.get('t')!.records.map(({ key }) => key)).toEqual(['c']);
 });
@@ -93,3 +93,54 @@
   expect(applyEvent(state, otherTopic).map(({ type }) => type)).toContain('answerBytes');
   expect(findAnswer(applyEvent(state, append('b')), 'b')).toMatchObject({ status: 200 });
 });
+
+const heartbeat = (key: string, value = 'ready'): StoreEvent => ({
+  type: 'heartbeatReceived',
+  requestId: `${key}-heartbeat`,
+  key,
+  value: Buffer.from(value),
+});
+
+const setFaults = (faults: Partial<StoreState['faults']>): StoreEvent => ({
+  type: 'faultsRequested',
+  requestId: 'f',
+  faults,
+});
+
+const listEntries = (state: StoreState): string[] =>
+  (state.topics.get('keyed.servers')?.records ?? []).map(({ key, value }) => `${key}:${value}`);
+
+// Guards against a soak in which no registry entry ever lapses, or each heartbeat is a change.
+test('entry without heartbeats expires, and is back with the next', () => {
+  const state = createStoreState(1);
+  applyEvent(state, heartbeat('w1'), 0);
+  applyEvent(state, heartbeat('w1'), 1500);
+  applyEvent(state, { type: 'tick' }, 5999);
+  expect(listEntries(state)).toEqual(['w1:ready']);
+  applyEvent(state, { type: 'tick' }, 6000);
+  expect(listEntries(state)).toEqual(['w1:ready', 'w1:']);
+  applyEvent(state, heartbeat('w1', 'draining'), 7000);
+  expect(listEntries(state)).toEqual(['w1:ready', 'w1:', 'w1:draining']);
+});
+
+// Guards against entries that outlast an outage in which the platform lets them lapse, or the reverse.
+test.each([true, false])('entries expire in an outage: %s', (entriesExpire) => {
+  const state = createStoreState(1);
+  applyEvent(state, heartbeat('w1'), 0);
+  applyEvent(state, setFaults({ outage: 'refuse', entriesExpire }), 100);
+  const refused = applyEvent(state, heartbeat('w1'), 1500);
+  expect(findAnswer(refused, 'w1-heartbeat')).toMatchObject({ status: 503 });
+  applyEvent(state, setFaults({ outage: 'none' }), 5000);
+  applyEvent(state, { type: 'tick' }, 5001);
+  expect(listEntries(state)).toEqual(entriesExpire ? ['w1:ready', 'w1:'] : ['w1:ready']);
+});
+
+// Guards against a worker that left and whose entry is removed a second time, or stays.
+test('empty heartbeat removes the entry once', () => {
+  const state = createStoreState(1);
+  applyEvent(state, heartbeat('w1'), 0);
+  applyEvent(state, heartbeat('w1', ''), 100);
+  applyEvent(state, heartbeat('w1', ''), 200);
+  applyEvent(state, { type: 'tick' }, 9000);
+  expect(listEntries(state)).toEqual(['w1:ready', 'w1:']);
+});
