Play drains and lapsed registry entries in the soak

Cause: entries of the soak's workers never lapsed, drains lasted 2.5 s, and no worker was cut off from the store alone, so that a registry entry that vanishes while its worker runs on was never met (docs/incidents/draining-worker-after-an-outage.md). Change: the harness sends the heartbeats of each worker, every 1.5 s while it runs and reaches the store; a worker that leaves has its entry removed and starts anew later. `--profile drains` repeats drains of 2 to 14 s with `remaining_ms`, lapses of the entry (cut off from the store alone, or an outage in which entries expire), and cuts of the worker's link from 1.5 s before to 0.3 s after the removal; workers with the longest work ahead are chosen. `--profile all` plays these beside the former kinds.

--- a/tools/soak/Soak.ts
+++ b/tools/soak/Soak.ts
@@ -1,5 +1,6 @@
 import type { ManagedProcess } from '../cluster/ManagedProcess.js';
 import type { FaultSpan } from './FaultSpan.js';
+import type { JobMix } from './JobMix.js';
 import type { SubmittedJob } from './SubmittedJob.js';
 import type { SoakNode } from './SoakNode.js';
 import type { SoakWorker } from './SoakWorker.js';
@@ -10,9 +11,13 @@
   folder: string;
   /** Seeded generator of uniform numbers in [0, 1). */
   random: () => number;
-  store: { port: number; process: ManagedProcess };
+  /** `faultInProgress` is set around an outage in which entries lapse. */
+  store: { port: number; process: ManagedProcess; faultInProgress: boolean };
   nodes: SoakNode[];
   workers: SoakWorker[];
+  /** Timers that send the heartbeats of workers. */
+  heartbeatTimers: NodeJS.Timeout[];
+  jobMix: JobMix;
   /** Submitted jobs by ID. */
   jobs: Map<string, SubmittedJob>;
   /** Faults that were injected, with their time spans. */
--- /dev/null
+++ b/tools/soak/SoakProfile.ts
@@ -0,0 +1,2 @@
+/** Which faults and jobs a soak plays; see soakProfiles. */
+export type SoakProfile = 'mixed' | 'drains' | 'all';
--- a/tools/soak/createJobBody.ts
+++ b/tools/soak/createJobBody.ts
@@ -1,6 +1,5 @@
 import type { Soak } from './Soak.js';
 
-const longJobProbability = 0.2;
 const dependentStepProbability = 0.3;
 const maxStepTasks = 16;
 
@@ -21,14 +20,15 @@
 
 /** Sizes of a wide job whose tasks are seen running on after a cancel, as each outlasts the time to stop it. */
 const createLongJob = (soak: Soak): JobSize => ({
-  runMs: chooseInteger(soak, 4000, 10_000),
+  runMs: chooseInteger(soak, soak.jobMix.minLongRunMs, soak.jobMix.maxLongRunMs),
   gpu: 1,
   count: chooseInteger(soak, 1, maxStepTasks),
 });
 
 /** Creates the body of a submission: a short or a long first step, and sometimes a task that waits for it. */
 export const createJobBody = (soak: Soak) => {
-  const createSize = soak.random() < longJobProbability ? createLongJob : createShortJob;
+  const createSize =
+    soak.random() < soak.jobMix.longJobProbability ? createLongJob : createShortJob;
   const { runMs, gpu, count } = createSize(soak);
   const step = { count, cpu: 1000, mem_mb: 1000, gpu, est_runtime_ms: runMs };
   const hasDependentStep = soak.random() < dependentStepProbability;
--- a/tools/soak/faultHandlers.ts
+++ b/tools/soak/faultHandlers.ts
@@ -1,10 +1,15 @@
 import { topics } from '../../platform/topics.js';
 import { waitMs } from '../cluster/waitMs.js';
 import type { FaultSpan } from './FaultSpan.js';
-import { publishWorkerEntry } from './publishWorkerEntry.js';
+import type { FaultHandler } from './FaultHandler.js';
+import { beginDrain } from './beginDrain.js';
+import { chooseOne } from './chooseOne.js';
+import { finishDrain } from './finishDrain.js';
+import { noRelayFaults } from './noRelayFaults.js';
 import { recordFault } from './recordFault.js';
 import { restartNode } from './restartNode.js';
 import { restartWorker } from './restartWorker.js';
+import { runExclusively } from './runExclusively.js';
 import { setFaults } from './setFaults.js';
 import type { Soak } from './Soak.js';
 import type { SoakRelay } from './SoakRelay.js';
@@ -12,22 +17,10 @@
 import type { SoakWorker } from './SoakWorker.js';
 
 type Scope = FaultSpan['scope'];
-type FaultHandler = (soak: Soak, durationMs: number) => Promise<void>;
 type NodeFault = (node: SoakNode, durationMs: number) => Promise<void>;
 
-const chooseOne = <T>(soak: Soak, items: readonly T[]): T =>
-  items[Math.floor(soak.random() * items.length)]!;
-
-/** Injects a fault unless another one is in progress at the process: its signals depend on their order. */
-const runExclusively = async (
-  target: { faultInProgress: boolean },
-  inject: () => Promise<void>,
-): Promise<void> => {
-  if (target.faultInProgress) return;
-  target.faultInProgress = true;
-  await inject();
-  target.faultInProgress = false;
-};
+// The protocol's shortest time to leave.
+const minDrainMs = 2000;
 
 const killNode: NodeFault = async (node, durationMs) => {
   node.process.signal('SIGKILL');
@@ -105,7 +98,6 @@
   { settings: { cut: true, cutMode: 'reset', cutSide: 'both' }, effect: 'breaks' },
   { settings: { delayMs: 150 }, effect: 'slows' },
 ];
-const noRelayFaults = { cut: false, cutMode: 'freeze', cutSide: 'both', delayMs: 0 };
 
 type RelayScopes = Record<RelayFault['effect'], Scope>;
 
@@ -176,19 +168,20 @@
     restartWorker(soak, worker),
   ),
   pauseWorker: createWorkerHandler('pauseWorker', 'orders', async (_soak, worker, durationMs) => {
+    worker.registration.sendsHeartbeats = false;
     worker.process.signal('SIGSTOP');
     await waitMs(durationMs);
     worker.process.signal('SIGCONT');
+    worker.registration.sendsHeartbeats = true;
   }),
   failWorker: createWorkerHandler('failWorker', 'other', async (_soak, worker, durationMs) => {
     await setFaults(worker.port, { failing: true });
     await waitMs(durationMs);
     await setFaults(worker.port, { failing: false });
   }),
-  drainWorker: createWorkerHandler('drainWorker', 'none', async (soak, worker) => {
-    await publishWorkerEntry(soak, worker, 'draining');
-    await waitMs(2500);
-    await restartWorker(soak, worker);
+  drainWorker: createWorkerHandler('drainWorker', 'none', async (soak, worker, durationMs) => {
+    await beginDrain(soak, worker, minDrainMs + durationMs);
+    await finishDrain(soak, worker, durationMs / 4);
   }),
   cutStore: createRelayHandler('cutStore', storeRelayScopes, ({ nodes }) =>
     nodes.map(({ id, storeRelay }) => ({ id, relay: storeRelay })),
--- a/tools/soak/runSoak.ts
+++ b/tools/soak/runSoak.ts
@@ -1,6 +1,7 @@
 import fs from 'node:fs';
 import { cac } from 'cac';
 import { runSoakSeed } from './runSoakSeed.js';
+import type { SoakProfile } from './SoakProfile.js';
 
 interface SoakFlags {
   seed: number;
@@ -8,6 +9,7 @@
   playSeconds: number;
   nodes: number;
   workers: number;
+  profile: SoakProfile;
   faults: boolean;
   faultGapSeconds: number;
 }
@@ -15,7 +17,7 @@
 const msPerMinute = 60_000;
 
 const runSeeds = async (flags: SoakFlags): Promise<void> => {
-  const { seed: firstSeed, minutes, playSeconds, nodes, workers } = flags;
+  const { seed: firstSeed, minutes, playSeconds, nodes, workers, profile } = flags;
   const maxFaultGapMs = flags.faults ? flags.faultGapSeconds * 1000 : null;
   const until = performance.now() + minutes * msPerMinute;
   let failures = 0;
@@ -30,6 +32,7 @@
       loadDurationMs: playSeconds * 1000,
       nodes,
       workers,
+      profile,
       maxFaultGapMs,
     });
     const { faults, excused } = report;
@@ -51,6 +54,7 @@
   .option('--play-seconds <n>', 'Seconds of client load and faults for each seed', { default: 15 })
   .option('--nodes <n>', 'Entry VMs', { default: 3 })
   .option('--workers <n>', 'Backend servers', { default: 6 })
+  .option('--profile <name>', 'Faults and jobs: mixed, drains or all', { default: 'mixed' })
   .option('--no-faults', 'Inject no faults')
   .option('--fault-gap-seconds <n>', 'Longest time between two faults', { default: 1.8 })
   .action(runSeeds);
--- a/tools/soak/runSoakSeed.ts
+++ b/tools/soak/runSoakSeed.ts
@@ -1,11 +1,14 @@
 import { readClock } from '../../standins/shared/readClock.js';
 import { waitMs } from '../cluster/waitMs.js';
+import { chooseOne } from './chooseOne.js';
 import type { FaultSpan } from './FaultSpan.js';
-import { faultHandlers } from './faultHandlers.js';
+import type { FaultHandler } from './FaultHandler.js';
 import { findViolations } from './findViolations.js';
 import { findUnfinishedJobs } from './findUnfinishedJobs.js';
 import type { Soak } from './Soak.js';
 import type { SoakFindings } from './SoakFindings.js';
+import type { SoakProfile } from './SoakProfile.js';
+import { soakProfiles } from './soakProfiles.js';
 import { startSoak } from './startSoak.js';
 import { stopSoak } from './stopSoak.js';
 import { submitJob } from './submitJob.js';
@@ -16,6 +19,7 @@
   loadDurationMs: number;
   nodes?: number;
   workers?: number;
+  profile?: SoakProfile;
   /** Longest time between the beginnings of two faults; null injects none. */
   maxFaultGapMs?: number | null;
 }
@@ -40,8 +44,6 @@
 const defaultMaxFaultGapMs = 1800;
 const minFaultMs = 300;
 const maxFaultMs = 4500;
-// At this rate of jobs for each worker, some jobs wait for capacity.
-const jobIntervalPerWorkerMs = 900;
 // Covers leases, quarantines of workers and the backlog, one after another.
 const settleTimeoutMs = 45_000;
 const checkIntervalMs = 1000;
@@ -49,13 +51,17 @@
 const chooseMs = ({ random }: Soak, minMs: number, maxMs: number): number =>
   Math.round(minMs + random() * (maxMs - minMs));
 
-const injectFaults = async (soak: Soak, until: number, maxFaultGapMs: number): Promise<void> => {
-  const kinds = Object.keys(faultHandlers);
+const injectFaults = async (
+  soak: Soak,
+  handlers: readonly FaultHandler[],
+  until: number,
+  maxFaultGapMs: number,
+): Promise<void> => {
   while (performance.now() < until) {
-    const kind = kinds[Math.floor(soak.random() * kinds.length)]!;
+    const handler = chooseOne(soak, handlers);
     const durationMs = chooseMs(soak, minFaultMs, maxFaultMs);
     // Faults overlap, so this one is not awaited here.
-    const fault = faultHandlers[kind]!(soak, durationMs);
+    const fault = handler(soak, durationMs);
     soak.pendingFaults.push(fault);
     // A fault that fails is thrown where all are awaited, before the processes are stopped.
     fault.catch(() => {});
@@ -69,7 +75,7 @@
   while (performance.now() < until) {
     jobs.push(submitJob(soak));
     // eslint-disable-next-line no-await-in-loop -- delay before the next job.
-    await waitMs(jobIntervalPerWorkerMs / soak.workers.length);
+    await waitMs(soak.jobMix.jobIntervalPerWorkerMs / soak.workers.length);
   }
   await Promise.all(jobs);
 };
@@ -107,9 +113,10 @@
 
 /** Runs the soak test for one seed: load and faults on the real programs, then a check of the guarantees. */
 export const runSoakSeed = async (options: SoakOptions): Promise<SoakReport> => {
-  const { seed, loadDurationMs, nodes = 3, workers = 6 } = options;
+  const { seed, loadDurationMs, nodes = 3, workers = 6, profile = 'mixed' } = options;
   const { maxFaultGapMs = defaultMaxFaultGapMs } = options;
-  const soak = await startSoak({ seed, nodes, workers });
+  const { handlers, jobs: jobMix } = soakProfiles[profile];
+  const soak = await startSoak({ seed, nodes, workers, jobMix });
   const stopAtSignal = (): void => {
     stopSoak(soak).finally(() => process.exit(1));
   };
@@ -117,7 +124,8 @@
   try {
     await waitMs(Math.max(minStartupWaitMs, workers * startupWaitPerWorkerMs));
     const until = performance.now() + loadDurationMs;
-    const faults = maxFaultGapMs === null ? null : injectFaults(soak, until, maxFaultGapMs);
+    const faults =
+      maxFaultGapMs === null ? null : injectFaults(soak, handlers, until, maxFaultGapMs);
     await Promise.all([submitJobs(soak, until), faults]);
     await Promise.all(soak.pendingFaults);
     await waitForJobs(soak);
--- a/tools/soak/startSoak.ts
+++ b/tools/soak/startSoak.ts
@@ -8,13 +8,15 @@
 import { formatSettings } from './formatSettings.js';
 import { publishOddEntries } from './publishOddEntries.js';
 import { publishRecord } from './publishRecord.js';
-import { publishWorkerEntry } from './publishWorkerEntry.js';
+import type { JobMix } from './JobMix.js';
+import { keepRegistered } from './keepRegistered.js';
 import type { Soak } from './Soak.js';
 import type { SoakRelay } from './SoakRelay.js';
 import type { SoakNode } from './SoakNode.js';
 import type { SoakWorker } from './SoakWorker.js';
 import { startNode } from './startNode.js';
 import { startWorker } from './startWorker.js';
+import { updateRegistration } from './updateRegistration.js';
 import { stopSoak } from './stopSoak.js';
 import { waitForListening } from './waitForListening.js';
 
@@ -22,6 +24,7 @@
   seed: number;
   nodes: number;
   workers: number;
+  jobMix: JobMix;
 }
 
 // Frontend, readiness and metrics, and two for each of two relays.
@@ -75,12 +78,18 @@
     incarnation: Date.now(),
     faultInProgress: false,
     formerRuns: [],
+    registration: {
+      state: 'ready' as const,
+      leavesAt: null,
+      sendsHeartbeats: true,
+      acceptedAt: 0,
+    },
   };
   return { ...worker, process: startWorker(worker) };
 };
 
 /** Starts the store, and the workers and daemons with their relays. */
-export const startSoak = async ({ seed, nodes, workers }: SoakSize): Promise<Soak> => {
+export const startSoak = async ({ seed, nodes, workers, jobMix }: SoakSize): Promise<Soak> => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'siskin-soak-'));
   const ports = await findFreePorts(1 + nodes * portsPerNode + workers * portsPerWorker);
   const [storePort] = ports.splice(0, 1) as [number];
@@ -88,6 +97,7 @@
   const store = {
     port: storePort,
     process: startProcess('store', 'dist/standins/store/main.js', args),
+    faultInProgress: false,
   };
   await waitForListening(store.process);
   const soak: Soak = {
@@ -96,6 +106,8 @@
     store,
     workers: Array.from({ length: workers }, (_, index) => createWorker(index, ports)),
     nodes: [],
+    heartbeatTimers: [],
+    jobMix,
     jobs: new Map(),
     faults: [],
     pendingFaults: [],
@@ -106,7 +118,9 @@
     'config',
     buildOperatorConfig(guaranteedGpuPerWorker * workers),
   );
-  await Promise.all(soak.workers.map((worker) => publishWorkerEntry(soak, worker, 'ready')));
+  const ready = { state: 'ready', leavesAt: null } as const;
+  await Promise.all(soak.workers.map((worker) => updateRegistration(soak, worker, ready)));
+  soak.heartbeatTimers = soak.workers.map((worker) => keepRegistered(soak, worker));
   await publishOddEntries(storePort);
   soak.nodes = Array.from({ length: nodes }, (_, index) =>
     createNode(index, folder, ports, storePort),
--- a/tools/soak/stopSoak.ts
+++ b/tools/soak/stopSoak.ts
@@ -5,7 +5,14 @@
 const stopTimeoutMs = 500;
 
 /** Stops every process of the soak test by its process ID and removes its files. */
-export const stopSoak = async ({ folder, store, nodes, workers }: Soak): Promise<void> => {
+export const stopSoak = async ({
+  folder,
+  store,
+  nodes,
+  workers,
+  heartbeatTimers,
+}: Soak): Promise<void> => {
+  heartbeatTimers.forEach(clearInterval);
   const processes = [
     store.process,
     ...nodes.flatMap((node) => [node.process, node.frontendRelay.process, node.storeRelay.process]),
