Show stalls of the store stand-in and the load in soak reports

Change: the stand-in logs each time of 250 ms or more for which its loop stood still, with the processor time that it used meanwhile; the report has the machine's load (mean and worst share of busy processors, load average, stalls of the harness), a failing seed's file also the samples of each second and the stand-in's log. Measured: unit tests of the stall log and the summary pass; no soak with them was run before this commit.

--- a/standins/store/startStore.ts
+++ b/standins/store/startStore.ts
@@ -2,6 +2,7 @@
 import { createExchanges } from '../shared/createExchanges.js';
 import { createHttpRunners } from '../shared/createHttpRunners.js';
 import { createEventLoop } from '../shared/createEventLoop.js';
+import { logLoopLag } from '../shared/logLoopLag.js';
 import { readFlags } from '../shared/readFlags.js';
 import { startServer } from '../shared/startServer.js';
 import { createStoreApp } from './createStoreApp.js';
@@ -28,5 +29,6 @@
     }),
   );
   const app = createStoreApp(exchanges, push);
+  logLoopLag('store');
   return startServer('store', app, flags.port);
 };
--- /dev/null
+++ b/test/tools/soak/measureLoad.test.ts
@@ -0,0 +1,19 @@
+import { expect, test } from '@jest/globals';
+import { measureLoad } from '../../../tools/soak/measureLoad.js';
+
+// Guards against a report that can't tell a store that stood still from a machine without a free processor.
+test('load summary has the worst of machine, harness and store', () => {
+  const time = '2026-12-06T08:00:00.000Z';
+  const samples = [
+    { time, busyShare: 0.5, loadAverage: 9, lagMs: 0 },
+    { time, busyShare: 1, loadAverage: 8, lagMs: 40 },
+  ];
+  const lines = ['{"program":"store","listening":1}', '{"code":"loop_lag","lagMs":3100}'];
+  expect(measureLoad(samples, lines)).toEqual({
+    meanBusyShare: 0.75,
+    maxBusyShare: 1,
+    maxLoadAverage: 9,
+    maxHarnessLagMs: 40,
+    maxStoreLagMs: 3100,
+  });
+});
--- a/tools/soak/Soak.ts
+++ b/tools/soak/Soak.ts
@@ -1,6 +1,7 @@
 import type { ManagedProcess } from '../cluster/ManagedProcess.js';
 import type { FaultSpan } from './FaultSpan.js';
 import type { JobMix } from './JobMix.js';
+import type { LoadSample } from './LoadSample.js';
 import type { SubmittedJob } from './SubmittedJob.js';
 import type { SoakNode } from './SoakNode.js';
 import type { SoakWorker } from './SoakWorker.js';
@@ -15,8 +16,9 @@
   store: { port: number; process: ManagedProcess; faultInProgress: boolean };
   nodes: SoakNode[];
   workers: SoakWorker[];
-  /** Timers that send the heartbeats of workers. */
-  heartbeatTimers: NodeJS.Timeout[];
+  /** Timers that send the heartbeats of workers and sample the load of the machine. */
+  timers: NodeJS.Timeout[];
+  loadSamples: LoadSample[];
   jobMix: JobMix;
   /** Submitted jobs by ID. */
   jobs: Map<string, SubmittedJob>;
--- a/tools/soak/runSoak.ts
+++ b/tools/soak/runSoak.ts
@@ -27,7 +27,7 @@
     currentSeed += 1
   ) {
     // eslint-disable-next-line no-await-in-loop -- one installation at a time.
-    const { logs, ...report } = await runSoakSeed({
+    const { logs, loadSamples, ...report } = await runSoakSeed({
       seed: currentSeed,
       loadDurationMs: playSeconds * 1000,
       nodes,
@@ -40,7 +40,10 @@
     process.stdout.write(`${JSON.stringify(summary)}\n`);
     if (report.broken.length > 0) {
       failures += 1;
-      fs.writeFileSync(`soak-${currentSeed}.json`, JSON.stringify({ ...report, logs }, null, 1));
+      fs.writeFileSync(
+        `soak-${currentSeed}.json`,
+        JSON.stringify({ ...report, loadSamples, logs }, null, 1),
+      );
     }
   }
   process.exitCode = failures > 0 ? 1 : 0;
--- a/tools/soak/runSoakSeed.ts
+++ b/tools/soak/runSoakSeed.ts
@@ -5,6 +5,9 @@
 import type { FaultHandler } from './FaultHandler.js';
 import { findViolations } from './findViolations.js';
 import { findUnfinishedJobs } from './findUnfinishedJobs.js';
+import type { LoadSample } from './LoadSample.js';
+import type { LoadSummary } from './LoadSummary.js';
+import { measureLoad } from './measureLoad.js';
 import type { Soak } from './Soak.js';
 import type { SoakFindings } from './SoakFindings.js';
 import type { SoakProfile } from './SoakProfile.js';
@@ -34,7 +37,10 @@
   faults: FaultSpan[];
   /** Difference of the wall clock to the monotonic one, for the times of faults and runs. */
   wallOffsetMs: number;
-  /** Last log lines of each daemon, for diagnosis. */
+  /** How busy the machine and the store stand-in were. */
+  load: LoadSummary;
+  loadSamples: LoadSample[];
+  /** Last log lines of each daemon and of the store stand-in, for diagnosis. */
   logs: Record<string, string[]>;
 }
 
@@ -98,6 +104,12 @@
   return counts;
 };
 
+const collectLogs = ({ nodes, store }: Soak): Record<string, string[]> =>
+  Object.fromEntries([
+    ...nodes.map(({ id, formerLines, process: { lines } }) => [id, [...formerLines, ...lines]]),
+    ['store', store.process.lines],
+  ]);
+
 const buildReport = (soak: Soak, seed: number, findings: SoakFindings): SoakReport => ({
   seed,
   jobs: soak.jobs.size,
@@ -106,9 +118,9 @@
   faults: soak.faults,
   ...findings,
   wallOffsetMs: readClock().wall - readClock().at,
-  logs: Object.fromEntries(
-    soak.nodes.map(({ id, formerLines, process: { lines } }) => [id, [...formerLines, ...lines]]),
-  ),
+  load: measureLoad(soak.loadSamples, soak.store.process.lines),
+  loadSamples: soak.loadSamples,
+  logs: collectLogs(soak),
 });
 
 /** Runs the soak test for one seed: load and faults on the real programs, then a check of the guarantees. */
--- a/tools/soak/startSoak.ts
+++ b/tools/soak/startSoak.ts
@@ -10,6 +10,7 @@
 import { publishRecord } from './publishRecord.js';
 import type { JobMix } from './JobMix.js';
 import { keepRegistered } from './keepRegistered.js';
+import { recordLoad } from './recordLoad.js';
 import type { Soak } from './Soak.js';
 import type { SoakRelay } from './SoakRelay.js';
 import type { SoakNode } from './SoakNode.js';
@@ -106,7 +107,8 @@
     store,
     workers: Array.from({ length: workers }, (_, index) => createWorker(index, ports)),
     nodes: [],
-    heartbeatTimers: [],
+    timers: [],
+    loadSamples: [],
     jobMix,
     jobs: new Map(),
     faults: [],
@@ -120,7 +122,10 @@
   );
   const ready = { state: 'ready', leavesAt: null } as const;
   await Promise.all(soak.workers.map((worker) => updateRegistration(soak, worker, ready)));
-  soak.heartbeatTimers = soak.workers.map((worker) => keepRegistered(soak, worker));
+  soak.timers = [
+    recordLoad(soak.loadSamples),
+    ...soak.workers.map((worker) => keepRegistered(soak, worker)),
+  ];
   await publishOddEntries(storePort);
   soak.nodes = Array.from({ length: nodes }, (_, index) =>
     createNode(index, folder, ports, storePort),
--- a/tools/soak/stopSoak.ts
+++ b/tools/soak/stopSoak.ts
@@ -5,14 +5,8 @@
 const stopTimeoutMs = 500;
 
 /** Stops every process of the soak test by its process ID and removes its files. */
-export const stopSoak = async ({
-  folder,
-  store,
-  nodes,
-  workers,
-  heartbeatTimers,
-}: Soak): Promise<void> => {
-  heartbeatTimers.forEach(clearInterval);
+export const stopSoak = async ({ folder, store, nodes, workers, timers }: Soak): Promise<void> => {
+  timers.forEach(clearInterval);
   const processes = [
     store.process,
     ...nodes.flatMap((node) => [node.process, node.frontendRelay.process, node.storeRelay.process]),
