--- a/test/tools/soak/measureLoad.test.ts
+++ b/test/tools/soak/measureLoad.test.ts
@@ -8,12 +8,17 @@
     { time, busyShare: 0.5, loadAverage: 9, lagMs: 0 },
     { time, busyShare: 1, loadAverage: 8, lagMs: 40 },
   ];
-  const lines = ['{"program":"store","listening":1}', '{"code":"loop_lag","lagMs":3100}'];
+  const longestStoreStall = { time, lagMs: 3100, cpuMs: 12 };
+  const stalls = [{ ...longestStoreStall, lagMs: 300 }, longestStoreStall];
+  const lines = [
+    '{"program":"store","listening":1}',
+    ...stalls.map((stall) => JSON.stringify({ ...stall, program: 'store', code: 'loop_lag' })),
+  ];
   expect(measureLoad(samples, lines)).toEqual({
     meanBusyShare: 0.75,
     maxBusyShare: 1,
     maxLoadAverage: 9,
     maxHarnessLagMs: 40,
-    maxStoreLagMs: 3100,
+    longestStoreStall,
   });
 });
--- a/tools/soak/LoadSummary.ts
+++ b/tools/soak/LoadSummary.ts
@@ -1,3 +1,5 @@
+import type { LoopStall } from './LoopStall.js';
+
 /** The worst of a soak's machine and of its store stand-in. */
 export interface LoadSummary {
   meanBusyShare: number;
@@ -5,6 +7,6 @@
   maxLoadAverage: number;
   /** Longest time for which the harness stood still. */
   maxHarnessLagMs: number;
-  /** Longest time for which the event loop of the store stand-in stood still, or 0 if it logged none. */
-  maxStoreLagMs: number;
+  /** Longest stall of the store stand-in, or null if it logged none. */
+  longestStoreStall: LoopStall | null;
 }
--- a/tools/soak/measureLoad.ts
+++ b/tools/soak/measureLoad.ts
@@ -1,8 +1,15 @@
 import type { LoadSample } from './LoadSample.js';
 import type { LoadSummary } from './LoadSummary.js';
+import type { LoopStall } from './LoopStall.js';
 
-const readLagMs = (line: string): number =>
-  line.includes('"loop_lag"') ? (JSON.parse(line) as { lagMs: number }).lagMs : 0;
+const findLongestStall = (lines: readonly string[]): LoopStall | null => {
+  const stalls = lines
+    .filter((line) => line.includes('"loop_lag"'))
+    .map((line) => JSON.parse(line) as LoopStall)
+    .sort((left, right) => right.lagMs - left.lagMs);
+  const [longest] = stalls;
+  return longest ? { time: longest.time, lagMs: longest.lagMs, cpuMs: longest.cpuMs } : null;
+};
 
 /** Sums up the samples of the machine's load and the log of the store stand-in. */
 export const measureLoad = (
@@ -16,6 +23,6 @@
     maxBusyShare: Math.max(0, ...busyShares),
     maxLoadAverage: Math.max(0, ...samples.map(({ loadAverage }) => loadAverage)),
     maxHarnessLagMs: Math.max(0, ...samples.map(({ lagMs }) => lagMs)),
-    maxStoreLagMs: Math.max(0, ...storeLines.map(readLagMs)),
+    longestStoreStall: findLongestStall(storeLines),
   };
 };
