--- a/test/tools/soak/measureLoad.test.ts
+++ b/test/tools/soak/measureLoad.test.ts
@@ -5,8 +5,8 @@
 test('load summary has the worst of machine, harness and store', () => {
   const time = '2026-12-06T08:00:00.000Z';
   const samples = [
-    { time, busyShare: 0.5, loadAverage: 9, lagMs: 0 },
-    { time, busyShare: 1, loadAverage: 8, lagMs: 40 },
+    { time, busyShare: 0.5, loadAverage: 9, lagMs: 0, cpuMs: 900 },
+    { time, busyShare: 1, loadAverage: 8, lagMs: 40, cpuMs: 30 },
   ];
   const longestStoreStall = { time, lagMs: 3100, cpuMs: 12 };
   const stalls = [{ ...longestStoreStall, lagMs: 300 }, longestStoreStall];
@@ -18,7 +18,7 @@
     meanBusyShare: 0.75,
     maxBusyShare: 1,
     maxLoadAverage: 9,
-    maxHarnessLagMs: 40,
+    longestHarnessStall: { time, lagMs: 40, cpuMs: 30 },
     longestStoreStall,
   });
 });
--- a/tools/soak/LoadSummary.ts
+++ b/tools/soak/LoadSummary.ts
@@ -5,8 +5,8 @@
   meanBusyShare: number;
   maxBusyShare: number;
   maxLoadAverage: number;
-  /** Longest time for which the harness stood still. */
-  maxHarnessLagMs: number;
+  /** Longest stall of the harness, or null if it was never sampled. */
+  longestHarnessStall: LoopStall | null;
   /** Longest stall of the store stand-in, or null if it logged none. */
   longestStoreStall: LoopStall | null;
 }
--- a/tools/soak/LoopStall.ts
+++ b/tools/soak/LoopStall.ts
@@ -1,4 +1,4 @@
-/** A time for which the event loop of a stand-in stood still, as it logs it. */
+/** A time for which the event loop of a process stood still. */
 export interface LoopStall {
   time: string;
   lagMs: number;
--- a/tools/soak/recordLoad.ts
+++ b/tools/soak/recordLoad.ts
@@ -3,6 +3,7 @@
 import type { LoadSample } from './LoadSample.js';
 
 const sampleIntervalMs = 1000;
+const microsecondsPerMs = 1000;
 
 interface ProcessorTimes {
   idleMs: number;
@@ -27,16 +28,20 @@
 export const recordLoad = (samples: LoadSample[]): NodeJS.Timeout => {
   let times = readProcessorTimes();
   let { at: previousAt } = readClock();
+  let usage = process.cpuUsage();
   return setInterval(() => {
     const { at, wall } = readClock();
     const newTimes = readProcessorTimes();
+    const { user, system } = process.cpuUsage(usage);
     samples.push({
       time: new Date(wall).toISOString(),
       busyShare: Number(computeBusyShare(times, newTimes).toFixed(2)),
       loadAverage: Number(os.loadavg()[0]!.toFixed(1)),
       lagMs: Math.max(0, Math.round(at - previousAt - sampleIntervalMs)),
+      cpuMs: Math.round((user + system) / microsecondsPerMs),
     });
     times = newTimes;
     previousAt = at;
+    usage = process.cpuUsage();
   }, sampleIntervalMs);
 };
