--- a/tools/soak/runSoakSeed.ts
+++ b/tools/soak/runSoakSeed.ts
@@ -1,11 +1,17 @@
 import { readClock } from '../../standins/shared/readClock.js';
 import { waitMs } from '../cluster/waitMs.js';
+import { chooseOne } from './chooseOne.js';
 import type { FaultSpan } from './FaultSpan.js';
-import { faultHandlers } from './faultHandlers.js';
+import type { FaultHandler } from './FaultHandler.js';
 import { findViolations } from './findViolations.js';
 import { findUnfinishedJobs } from './findUnfinishedJobs.js';
+import type { LoadSample } from './LoadSample.js';
+import type { LoadSummary } from './LoadSummary.js';
+import { measureLoad } from './measureLoad.js';
 import type { Soak } from './Soak.js';
 import type { SoakFindings } from './SoakFindings.js';
+import type { SoakProfile } from './SoakProfile.js';
+import { soakProfiles } from './soakProfiles.js';
 import { startSoak } from './startSoak.js';
 import { stopSoak } from './stopSoak.js';
 import { submitJob } from './submitJob.js';
@@ -16,6 +22,7 @@
   loadDurationMs: number;
   nodes?: number;
   workers?: number;
+  profile?: SoakProfile;
   /** Longest time between the beginnings of two faults; null injects none. */
   maxFaultGapMs?: number | null;
 }
@@ -30,7 +37,10 @@
   faults: FaultSpan[];
   /** Difference of the wall clock to the monotonic one, for the times of faults and runs. */
   wallOffsetMs: number;
-  /** Last log lines of each daemon, for diagnosis. */
+  /** How busy the machine and the store stand-in were. */
+  load: LoadSummary;
+  loadSamples: LoadSample[];
+  /** Last log lines of each daemon and of the store stand-in, for diagnosis. */
   logs: Record<string, string[]>;
 }
 
@@ -40,8 +50,6 @@
 const defaultMaxFaultGapMs = 1800;
 const minFaultMs = 300;
 const maxFaultMs = 4500;
-// At this rate of jobs for each worker, some jobs wait for capacity.
-const jobIntervalPerWorkerMs = 900;
 // Covers leases, quarantines of workers and the backlog, one after another.
 const settleTimeoutMs = 45_000;
 const checkIntervalMs = 1000;
@@ -49,13 +57,17 @@
 const chooseMs = ({ random }: Soak, minMs: number, maxMs: number): number =>
   Math.round(minMs + random() * (maxMs - minMs));
 
-const injectFaults = async (soak: Soak, until: number, maxFaultGapMs: number): Promise<void> => {
-  const kinds = Object.keys(faultHandlers);
+const injectFaults = async (
+  soak: Soak,
+  handlers: readonly FaultHandler[],
+  until: number,
+  maxFaultGapMs: number,
+): Promise<void> => {
   while (performance.now() < until) {
-    const kind = kinds[Math.floor(soak.random() * kinds.length)]!;
+    const handler = chooseOne(soak, handlers);
     const durationMs = chooseMs(soak, minFaultMs, maxFaultMs);
     // Faults overlap, so this one is not awaited here.
-    const fault = faultHandlers[kind]!(soak, durationMs);
+    const fault = handler(soak, durationMs);
     soak.pendingFaults.push(fault);
     // A fault that fails is thrown where all are awaited, before the processes are stopped.
     fault.catch(() => {});
@@ -69,7 +81,7 @@
   while (performance.now() < until) {
     jobs.push(submitJob(soak));
     // eslint-disable-next-line no-await-in-loop -- delay before the next job.
-    await waitMs(jobIntervalPerWorkerMs / soak.workers.length);
+    await waitMs(soak.jobMix.jobIntervalPerWorkerMs / soak.workers.length);
   }
   await Promise.all(jobs);
 };
@@ -92,6 +104,12 @@
   return counts;
 };
 
+const collectLogs = ({ nodes, store }: Soak): Record<string, string[]> =>
+  Object.fromEntries([
+    ...nodes.map(({ id, formerLines, process: { lines } }) => [id, [...formerLines, ...lines]]),
+    ['store', store.process.lines],
+  ]);
+
 const buildReport = (soak: Soak, seed: number, findings: SoakFindings): SoakReport => ({
   seed,
   jobs: soak.jobs.size,
@@ -100,16 +118,17 @@
   faults: soak.faults,
   ...findings,
   wallOffsetMs: readClock().wall - readClock().at,
-  logs: Object.fromEntries(
-    soak.nodes.map(({ id, formerLines, process: { lines } }) => [id, [...formerLines, ...lines]]),
-  ),
+  load: measureLoad(soak.loadSamples, soak.store.process.lines),
+  loadSamples: soak.loadSamples,
+  logs: collectLogs(soak),
 });
 
 /** Runs the soak test for one seed: load and faults on the real programs, then a check of the guarantees. */
 export const runSoakSeed = async (options: SoakOptions): Promise<SoakReport> => {
-  const { seed, loadDurationMs, nodes = 3, workers = 6 } = options;
+  const { seed, loadDurationMs, nodes = 3, workers = 6, profile = 'mixed' } = options;
   const { maxFaultGapMs = defaultMaxFaultGapMs } = options;
-  const soak = await startSoak({ seed, nodes, workers });
+  const { handlers, jobs: jobMix } = soakProfiles[profile];
+  const soak = await startSoak({ seed, nodes, workers, jobMix });
   const stopAtSignal = (): void => {
     stopSoak(soak).finally(() => process.exit(1));
   };
@@ -117,7 +136,8 @@
   try {
     await waitMs(Math.max(minStartupWaitMs, workers * startupWaitPerWorkerMs));
     const until = performance.now() + loadDurationMs;
-    const faults = maxFaultGapMs === null ? null : injectFaults(soak, until, maxFaultGapMs);
+    const faults =
+      maxFaultGapMs === null ? null : injectFaults(soak, handlers, until, maxFaultGapMs);
     await Promise.all([submitJobs(soak, until), faults]);
     await Promise.all(soak.pendingFaults);
     await waitForJobs(soak);
