--- a/test/control/drainingWorkers.test.ts
+++ b/test/control/drainingWorkers.test.ts
@@ -6,39 +6,59 @@
   killWorker,
   publishWorkerEntry,
 } from './simulation/createFakePlatform.js';
+import type { FakePlatform } from './simulation/FakePlatform.js';
 import { findLeader } from './simulation/findLeader.js';
 import { findRunViolations } from './simulation/findRunViolations.js';
 import { submitJob } from './simulation/submitJob.js';
 
 const outageDelays = [200, 250, 300, 400, 600, 900, 1200, 1500, 1700];
 
+/**
+ * Plays a job on a draining worker whose entry lapses in an outage of the store, which ends after the given time, while the
+ * leader loses the worker until some time after the store's return.
+ */
+const playLapse = (platform: FakePlatform, delayMs: number): void => {
+  advanceTime(platform, 3000);
+  submitJob(platform, 'a', { runMs: 20_000, steps: [{ count: 3 }] });
+  advanceTime(platform, 500);
+  const { workerId } = platform.runs[0]!;
+  const worker = platform.workers.get(workerId)!;
+  publishWorkerEntry(platform, workerId, 'draining');
+  advanceTime(platform, 500);
+  platform.store.refusing = true;
+  advanceTime(platform, 4000);
+  publishWorkerEntry(platform, workerId, 'gone');
+  worker.partitioned = true;
+  advanceTime(platform, delayMs);
+  platform.store.refusing = false;
+  advanceTime(platform, 1600);
+  worker.partitioned = false;
+  publishWorkerEntry(platform, workerId, 'draining');
+  advanceTime(platform, 30_000);
+};
+
 // Guards against the removal of a registry entry that lapsed while the store was away, taken for the leave of a draining
 // worker: its runs were started elsewhere while it worked on.
 test.each(outageDelays)(
-  'a draining worker keeps its runs when its entry lapses in an outage (%i ms)',
+  'tasks of a draining worker run once when its entry lapses in an outage (%i ms)',
   (delayMs) => {
     const platform = createFakePlatform({ vms: 3, workers: 3 });
-    advanceTime(platform, 3000);
-    submitJob(platform, 'a', { runMs: 20_000, steps: [{ count: 3 }] });
-    advanceTime(platform, 500);
-    const { workerId } = platform.runs[0]!;
-    const worker = platform.workers.get(workerId)!;
-    publishWorkerEntry(platform, workerId, 'draining');
-    advanceTime(platform, 500);
-    platform.store.refusing = true;
-    advanceTime(platform, 4000);
-    publishWorkerEntry(platform, workerId, 'gone');
-    worker.partitioned = true;
-    advanceTime(platform, delayMs);
-    platform.store.refusing = false;
-    advanceTime(platform, 1600);
-    worker.partitioned = false;
-    publishWorkerEntry(platform, workerId, 'draining');
-    advanceTime(platform, 30_000);
+    playLapse(platform, delayMs);
     expect(findRunViolations(platform)).toEqual([]);
   },
 );
 
+// Guards against the same while the worker's lease runs on: its runs must go on, not merely be over before they start
+// elsewhere.
+test.each(outageDelays)(
+  'runs of a draining worker go on after its entry lapsed in an outage (%i ms)',
+  (delayMs) => {
+    const platform = createFakePlatform({ vms: 3, workers: 3, maxLeaseMs: 10_000 });
+    playLapse(platform, delayMs);
+    expect(platform.runs.map(({ kind }) => kind)).toEqual(['done', 'done', 'done']);
+  },
+);
+
 // Guards against the same without an outage: a worker that the store loses sight of answers the leader until its entry is
 // about to be removed.
 test.each([500, 1000, 1500])(
--- a/tools/soak/drainHandlers.ts
+++ b/tools/soak/drainHandlers.ts
@@ -2,6 +2,7 @@
 import { readClock } from '../../standins/shared/readClock.js';
 import { waitMs } from '../cluster/waitMs.js';
 import { beginDrain } from './beginDrain.js';
+import { chooseMs } from './chooseMs.js';
 import { chooseOne } from './chooseOne.js';
 import { injectWorkerCut } from './injectWorkerCut.js';
 import type { FaultHandler } from './FaultHandler.js';
@@ -30,9 +31,6 @@
 // Time between two such outages, for the jobs that the next one is to meet.
 const calmAfterOutageMs = 4000;
 
-const chooseMs = ({ random }: Soak, minMs: number, maxMs: number): number =>
-  minMs + random() * (maxMs - minMs);
-
 /** Waits until shortly before or after the removal of an entry. */
 const waitForCut = (soak: Soak, removedAt: number): Promise<void> =>
   waitMs(Math.max(0, removedAt - readClock().at + chooseMs(soak, -maxCutLeadMs, maxCutDelayMs)));
--- a/tools/soak/runSoakSeed.ts
+++ b/tools/soak/runSoakSeed.ts
@@ -1,6 +1,7 @@
 import { readClock } from '../../standins/shared/readClock.js';
 import { waitMs } from '../cluster/waitMs.js';
 import { chooseOne } from './chooseOne.js';
+import { chooseMs } from './chooseMs.js';
 import type { FaultSpan } from './FaultSpan.js';
 import type { FaultHandler } from './FaultHandler.js';
 import { findViolations } from './findViolations.js';
@@ -54,9 +55,6 @@
 const settleTimeoutMs = 45_000;
 const checkIntervalMs = 1000;
 
-const chooseMs = ({ random }: Soak, minMs: number, maxMs: number): number =>
-  Math.round(minMs + random() * (maxMs - minMs));
-
 const injectFaults = async (
   soak: Soak,
   handlers: readonly FaultHandler[],
