Review case: a late start runs in a worker's next life

A start that got no answer is carried out 6 s later; meanwhile its task was started elsewhere and the worker crashed and started again. The new life takes the old call, and two runs of the task are at work for 1.2 s.

--- a/review/shared-2/worker.mjs
+++ b/review/shared-2/worker.mjs
@@ -158,6 +158,22 @@
     }, body.wait_ms);
   };
 
+  let lateStartMs = 0;
+  /** Leaves a start unanswered and carries it out late, in whatever life the worker has by then. */
+  const delayStart = (body) => {
+    const delayMs = lateStartMs;
+    lateStartMs = 0;
+    observe('start arrives late', { worker: id, task: body.task, run: body.run, delayMs });
+    setTimeout(() => {
+      const owner = life;
+      const isFenced = body.fencing_token < owner.highestToken;
+      observe('late start', { worker: id, born: owner.born, isFenced, token: body.fencing_token });
+      if (isFenced) return;
+      owner.highestToken = body.fencing_token;
+      start(owner, body, { destroyed: true });
+    }, delayMs);
+  };
+
   const handlers = { '/-/run-start': start, '/-/run-stop': stop, '/-/hold': hold };
   const serve = async (request, response) => {
     const owner = life;
@@ -171,6 +187,10 @@
       answer(response, 421, {});
       return;
     }
+    if (lateStartMs > 0 && request.url === '/-/run-start') {
+      delayStart(body);
+      return;
+    }
     if (body.fencing_token < owner.highestToken) {
       answer(response, 409, { clock_ms: clockOf(owner), reason: 'fence' });
       return;
@@ -201,6 +221,10 @@
     port: server.address().port,
     getBorn: () => life.born,
     listRuns: () => [...life.runs.values()].map(({ task, run }) => ({ task, run })),
+    /** The next start gets no answer and is carried out this much later. */
+    delayNextStart: (ms) => {
+      lateStartMs = ms;
+    },
     /** Crashes the worker and starts it again under the same id; it knows nothing of before. */
     restart: () => {
       forget();
