--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -2,13 +2,7 @@
 /* eslint-disable import-x/extensions -- Node needs the extension. */
 import process from 'node:process';
 import { fileURLToPath, URL } from 'node:url';
-import {
-  buildConfig,
-  otherKey,
-  runCase,
-  startDeployment,
-  waitMs,
-} from '../shared-2/deployment.mjs';
+import { buildConfig, otherKey, runCase, startDeployment, waitMs } from '../deployment-2.mjs';
 
 const largeTasks = 8192;
 const smallTasks = 2048;
--- a/review/shared-2/deployment.mjs
+++ b/review/deployment-2.mjs
@@ -13,10 +13,10 @@
 import process from 'node:process';
 import { clearInterval, clearTimeout, setInterval, setTimeout } from 'node:timers';
 import { fileURLToPath, URL } from 'node:url';
-import startStore from './store.mjs';
-import startWorker from './worker.mjs';
+import startStore from './store-2.mjs';
+import startWorker from './worker-2.mjs';
 
-const root = fileURLToPath(new URL('../../', import.meta.url));
+const root = fileURLToPath(new URL('../', import.meta.url));
 const restartDelayMs = 500;
 const defaultDeadlineMs = 3000;
 const submitAttempts = 10;
