Divide progress that outgrows a record of the store

Cause: the progress of a job was one record with a row for each started task, without a bound on their number or on the length of their checkpoints. The stand-in of the store noted the refused append: one record of 302,368 bytes, the first of each term, where 262,144 are allowed. Each leader ended its term at the refusal. Ruled out: a call beyond max_call_bytes (it had one record) and claims against a live leader (each term ended by itself).

Change: progress beyond max_record_bytes is divided into parts of at most 32 KiB, of which only changed ones are written, with a head and a main record that names nothing as open to a former version. Progress that fits keeps its form. Limits are read from the settings. The changes of a turn, until now one append without a bound, are split into appends of at most 256 KiB, in an order in which the stored state is true between any two; starts follow the last append of their job, acknowledgements the last append of the change.

The check that a run never resumes from a checkpoint of another task was wrong for gangs, of which no generated job saved any: PROTOCOL.md, "the value from any member of a gang is valid for that gang, and all must carry the same value". For gangs it now demands a checkpoint of the same step that all members of the run share.

--- a/src/adapters/journal/encodeRecord.ts
+++ b/src/adapters/journal/encodeRecord.ts
@@ -3,6 +3,8 @@
 import type { JournalRecord } from '../../control/journal/JournalRecord.js';
 import type { RunsRecord } from '../../control/journal/RunsRecord.js';
 import type { JobProgress } from '../../control/jobs/JobProgress.js';
+import type { TaskProgress } from '../../control/jobs/TaskProgress.js';
+import { buildPartId } from '../../control/journal/buildPartId.js';
 import { buildUsageKey } from '../../control/usage/buildUsageKey.js';
 import type { EncodedRecord } from './EncodedRecord.js';
 import { journalKeyPrefixes } from './journalKeyPrefixes.js';
@@ -13,23 +15,25 @@
   [T in AnyRecord['type']]: (record: Extract<AnyRecord, { type: T }>) => EncodedRecord;
 };
 
+// Tasks make up most of the stored data, so they are tuples without field names.
+const buildTaskRow = (task: TaskProgress): (string | number)[] => [
+  task.occurrence,
+  task.step,
+  task.index,
+  task.state,
+  task.run,
+  task.failures,
+  task.workerId,
+  task.checkpoint,
+  task.startedAt,
+];
+
 /**
- * Encodes progress. Tasks make up most of the stored data, so they are tuples without field names. The
- * occurrences are left out while none is finished: they follow from the tasks then.
+ * Encodes progress. The occurrences are left out while none is finished: they follow from the tasks then.
  */
 const encodeProgress = (progress: JobProgress): Buffer => {
   const { state, endedAt, nextOccurrence, openOccurrences } = progress;
-  const tasks = progress.tasks.map((task) => [
-    task.occurrence,
-    task.step,
-    task.index,
-    task.state,
-    task.run,
-    task.failures,
-    task.workerId,
-    task.checkpoint,
-    task.startedAt,
-  ]);
+  const tasks = progress.tasks.map(buildTaskRow);
   return pack(
     openOccurrences.length === nextOccurrence
       ? [state, endedAt, tasks]
@@ -54,6 +58,14 @@
     key: `${journalKeyPrefixes.progress}/${id}`,
     value: encodeProgress(progress),
   }),
+  progressHead: ({ id, head }) => ({
+    key: `${journalKeyPrefixes.progressHead}/${id}`,
+    value: pack([head.nextOccurrence, head.openOccurrences]),
+  }),
+  progressPart: ({ id, part, tasks }) => ({
+    key: `${journalKeyPrefixes.progressPart}/${buildPartId(id, part)}`,
+    value: pack(tasks.map(buildTaskRow)),
+  }),
   lead: ({ token, vmId, resigned }) => ({
     key: journalKeyPrefixes.lead,
     value: pack({ token, vmId, resigned }),
--- a/src/adapters/journal/journalKeyPrefixes.ts
+++ b/src/adapters/journal/journalKeyPrefixes.ts
@@ -4,6 +4,9 @@
   cancellation: 'c',
   status: 't',
   progress: 'p',
+  progressHead: 'o',
+  // A slash and the number of the part follow the job ID.
+  progressPart: 'q',
   // The same key, in different streams.
   lead: 'l',
   claim: 'l',
--- a/src/adapters/journal/recordSchemas.ts
+++ b/src/adapters/journal/recordSchemas.ts
@@ -68,6 +68,9 @@
     nonNegativeInt.optional(),
     z.array(nonNegativeInt).optional(),
   ]),
+  // The number of the next occurrence and the unfinished ones.
+  progressHead: z.tuple([nonNegativeInt, z.array(nonNegativeInt)]),
+  progressPart: z.array(taskRowSchema),
   lead: z.object({ token: z.number(), vmId: z.string(), resigned: z.boolean() }),
   usage: z.object({
     workspace: z.string(),
--- a/src/control/State.ts
+++ b/src/control/State.ts
@@ -7,12 +7,14 @@
 import type { Term } from './lead/Term.js';
 import type { Self } from './Self.js';
 import type { Cursor } from './streams/Cursor.js';
+import type { StoreLimits } from './settings/StoreLimits.js';
 import type { StreamName } from './streams/StreamName.js';
 
 /** State of one daemon; owned by its event loop and updated in place only by `reduce`. */
 export interface State {
   self: Self;
   bounds: TimingBounds;
+  storeLimits: StoreLimits;
   /** Last ID assigned to a read from or append to the store. */
   lastCallId: number;
   /** Newest configuration read, or null before the first. */
--- a/src/control/createState.ts
+++ b/src/control/createState.ts
@@ -1,5 +1,7 @@
 import type { TimingBounds } from './TimingBounds.js';
 import type { Self } from './Self.js';
+import { defaultStoreLimits } from './settings/defaultStoreLimits.js';
+import type { StoreLimits } from './settings/StoreLimits.js';
 import type { State } from './State.js';
 import type { Cursor } from './streams/Cursor.js';
 
@@ -19,9 +21,14 @@
 });
 
 /** Creates the initial state of a daemon, before any stream is read. */
-export const createState = (self: Self, bounds: TimingBounds): State => ({
+export const createState = (
+  self: Self,
+  bounds: TimingBounds,
+  storeLimits: StoreLimits = defaultStoreLimits,
+): State => ({
   self,
   bounds,
+  storeLimits,
   lastCallId: 0,
   config: null,
   streams: {
--- a/src/control/journal/JournalRecord.ts
+++ b/src/control/journal/JournalRecord.ts
@@ -1,5 +1,6 @@
 import type { JobState } from '../jobs/JobState.js';
 import type { Submission } from '../jobs/Submission.js';
+import type { ProgressRecordName } from './ProgressRecordName.js';
 
 /** A record of the journal, which every VM follows; the store keeps the newest record of each key. */
 export type JournalRecord =
@@ -13,6 +14,7 @@
   /** Tombstone of the record of that type and ID. */
   | {
       type: 'dropped';
-      recordType: 'submission' | 'cancellation' | 'status' | 'progress' | 'usage';
+      recordType:
+        'submission' | 'cancellation' | 'status' | 'usage' | ProgressRecordName['recordType'];
       id: string;
     };
--- a/src/control/journal/applyTombstone.ts
+++ b/src/control/journal/applyTombstone.ts
@@ -14,6 +14,8 @@
   status: () => undefined,
   usage: () => undefined,
   progress: (state, id) => state.term?.predecessor.progress.delete(id),
+  progressHead: (state, id) => state.term?.predecessor.heads.delete(id),
+  progressPart: (state, id) => state.term?.predecessor.parts.delete(id),
 };
 
 /** Applies a tombstone. */
--- a/src/control/journal/recordHandlers.ts
+++ b/src/control/journal/recordHandlers.ts
@@ -5,6 +5,8 @@
 import { applyWorkerRecord } from '../workers/applyWorkerRecord.js';
 import { applyCancellation } from './applyCancellation.js';
 import { applyProgress } from './applyProgress.js';
+import { applyProgressHead } from './applyProgressHead.js';
+import { applyProgressPart } from './applyProgressPart.js';
 import { applyStatus } from './applyStatus.js';
 import { applySubmission } from './applySubmission.js';
 import { applyTombstone } from './applyTombstone.js';
@@ -17,6 +19,8 @@
   cancellation: applyCancellation,
   status: applyStatus,
   progress: applyProgress,
+  progressHead: applyProgressHead,
+  progressPart: applyProgressPart,
   lead: applyLeaderRecord,
   speeds: (state, { speeds }) => {
     if (state.term) state.term.predecessor.speeds = speeds;
--- a/src/control/lead/Term.ts
+++ b/src/control/lead/Term.ts
@@ -1,5 +1,7 @@
 import type { JobPlan } from '../plans/JobPlan.js';
 import type { StepPlan } from '../plans/StepPlan.js';
+import type { Task } from '../plans/Task.js';
+import type { ProgressRecordName } from '../journal/ProgressRecordName.js';
 import type { LeaderStream } from '../progress/LeaderStream.js';
 import type { StreamWriter } from '../progress/StreamWriter.js';
 import type { UsageTotal } from '../usage/UsageTotal.js';
@@ -40,12 +42,12 @@
   invalidEntryFields: Map<string, string>;
   /** Gangs that lost a member; their other members have to be stopped. */
   incompleteGangs: Set<StepPlan>;
-  /** IDs of jobs whose progress has to be written. */
-  dirtyJobIds: Set<string>;
+  /** By ID of the jobs whose progress has to be written, the tasks whose rows have changed. */
+  unwrittenTasks: Map<string, Set<Task>>;
   /** IDs of jobs whose state has to be published. */
   unpublishedJobIds: Set<string>;
-  /** IDs of jobs without a submission whose progress has to be dropped. */
-  orphanedJobIds: Set<string>;
+  /** Records of progress that no job needs any more, which have to be dropped. */
+  orphanedRecords: ProgressRecordName[];
   writers: Record<LeaderStream, StreamWriter>;
   /** Recent demand of urgent (priority 0) jobs. */
   urgentDemand: {
--- a/src/control/lead/advanceTerm.ts
+++ b/src/control/lead/advanceTerm.ts
@@ -5,9 +5,10 @@
 import { retryAppend } from '../progress/retryAppend.js';
 import { appendChanges } from '../progress/appendChanges.js';
 import { buildLeaderRecord } from '../progress/buildLeaderRecord.js';
+import { beginAppend } from '../progress/beginAppend.js';
 import { createAppend } from '../progress/createAppend.js';
 import type { LeaderStream } from '../progress/LeaderStream.js';
-import { sendAppend } from '../progress/sendAppend.js';
+import { isWriterIdle } from '../progress/isWriterIdle.js';
 import { stopIncompleteGangs } from '../runs/stopIncompleteGangs.js';
 import type { State } from '../State.js';
 import { closeStream } from '../streams/closeStream.js';
@@ -75,7 +76,7 @@
 const mayPlace = (state: State, term: Term, now: Now): boolean =>
   term.placementDue &&
   now.at >= term.nextPlacementAt &&
-  term.writers.runs.pending === null &&
+  isWriterIdle(term.writers.runs) &&
   state.shutdownAt === null &&
   isCurrent(state, 'journal', now);
 
@@ -97,8 +98,8 @@
     return enterPhase(state, term, 'reading', now);
   }
   if (term.writers[stream].pending) return retryAppend(state, term, stream, now);
-  const fence = createAppend(term, stream, [buildLeaderRecord(state, term)], now);
-  return sendAppend(state, term, fence);
+  const fence = { jobId: null, records: [buildLeaderRecord(state, term)] };
+  return beginAppend(state, term, createAppend(stream, [fence], now), now);
 };
 
 const phaseHandlers: Record<Term['phase'], PhaseHandler> = {
--- a/src/control/placement/assignWorkers.ts
+++ b/src/control/placement/assignWorkers.ts
@@ -1,5 +1,6 @@
 import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
+import { markUnwritten } from '../plans/markUnwritten.js';
 import { reserveResources } from '../workers/reserveResources.js';
 import type { Worker } from '../workers/Worker.js';
 import type { PlacementPass } from './PlacementPass.js';
@@ -28,6 +29,5 @@
     pass.usedGpu += task.need.gpu;
     reserveResources(worker, task);
   });
-  unit.tasks.splice(0, workers.length);
-  term.dirtyJobIds.add(unit.plan.id);
+  markUnwritten(term, unit.plan.id, unit.tasks.splice(0, workers.length));
 };
--- a/src/control/plans/JobPlan.ts
+++ b/src/control/plans/JobPlan.ts
@@ -2,6 +2,7 @@
 import type { JobState } from '../jobs/JobState.js';
 import type { Submission } from '../jobs/Submission.js';
 import type { OccurrencePlan } from './OccurrencePlan.js';
+import type { ProgressParts } from './ProgressParts.js';
 
 /**
  * The leader's plan for a job that has not ended, or whose end is not yet persisted, with the settings of
@@ -19,4 +20,6 @@
   occurrences: Map<number, OccurrencePlan>;
   /** Number of the next occurrence to create. */
   nextOccurrence: number;
+  /** Null while its stored progress is one record. */
+  parts: ProgressParts | null;
 }
--- a/src/control/plans/Task.ts
+++ b/src/control/plans/Task.ts
@@ -17,6 +17,8 @@
   /** Failed runs; the failures of a gang are counted in its step. */
   failures: number;
   checkpoint: string;
+  /** Number of the part that holds its row while the stored progress of its job is divided; -1 if none does. */
+  part: number;
   /** Worker of the current or last run, or empty. */
   workerId: string;
   /** Monotonic time at which the task entered its state. */
--- a/src/control/plans/addPlan.ts
+++ b/src/control/plans/addPlan.ts
@@ -32,6 +32,7 @@
     peakGpu: computePeakGpu(submission.definition.steps),
     occurrences: new Map(),
     nextOccurrence: 0,
+    parts: null,
   };
   term.plans.set(job.id, plan);
   term.placementDue = true;
--- a/src/control/plans/createTask.ts
+++ b/src/control/plans/createTask.ts
@@ -19,6 +19,7 @@
   run: 0,
   failures: 0,
   checkpoint: '',
+  part: -1,
   workerId: '',
   stateSince: at,
   startedAt: null,
--- a/src/control/plans/finishPlan.ts
+++ b/src/control/plans/finishPlan.ts
@@ -4,6 +4,7 @@
 import { stopJobRuns } from '../runs/stopJobRuns.js';
 import type { JobPlan } from './JobPlan.js';
 import { isJobEnded } from './isJobEnded.js';
+import { markUnwritten } from './markUnwritten.js';
 
 const stopReasons = { cancelled: 'cancelled', failed: 'job-ended' } as const;
 
@@ -17,7 +18,7 @@
   if (isJobEnded(plan.state)) return [];
   plan.state = outcome;
   plan.endedAt = now.wall;
-  term.dirtyJobIds.add(plan.id);
+  markUnwritten(term, plan.id, []);
   term.unpublishedJobIds.add(plan.id);
   const fields = {
     requestId: plan.id,
--- a/src/control/progress/StreamWriter.ts
+++ b/src/control/progress/StreamWriter.ts
@@ -5,6 +5,8 @@
   /** Sequence number of the next append. */
   nextSequence: number;
   pending: PendingAppend | null;
+  /** Appends that follow the pending one, in order. */
+  queued: PendingAppend[];
   /** Monotonic time at which the last append was created. */
   lastAppendAt: number;
   /**
--- a/src/control/progress/appendChanges.ts
+++ b/src/control/progress/appendChanges.ts
@@ -3,13 +3,17 @@
 import type { Now } from '../Now.js';
 import type { State } from '../State.js';
 import { acknowledgeEnds } from './acknowledgeEnds.js';
-import { takeJournalRecords } from './takeJournalRecords.js';
-import { takeRunsRecords } from './takeRunsRecords.js';
+import { beginAppend } from './beginAppend.js';
 import { createAppend } from './createAppend.js';
+import { groupUnits } from './groupUnits.js';
 import type { LeaderStream } from './LeaderStream.js';
 import type { PendingAppend } from './PendingAppend.js';
 import { retryAppend } from './retryAppend.js';
-import { sendAppend } from './sendAppend.js';
+import { takeJournalRecords } from './takeJournalRecords.js';
+import { takeRunsUnits } from './takeRunsUnits.js';
+
+// A slow link transfers this within a few tenths of a second, well below the timeout of an append.
+const maxAppendBytes = 262_144;
 
 const listUnacknowledgedEnds = (term: Term): PendingAppend['endsToAcknowledge'] =>
   [...term.workers.values()]
@@ -27,33 +31,49 @@
       .map((task) => ({ task, run: task.run })),
   );
 
-/** Creates the next append to a stream, or null if there is nothing to write. */
-const beginAppend: Record<
+/** Assigns each start to the append with which its job's progress is complete. */
+const assignStarts = (appends: readonly PendingAppend[], starts: PendingAppend['startsToSend']) => {
+  const lastAppends = new Map<string | null, PendingAppend>();
+  appends.forEach((append) => append.units.forEach(({ jobId }) => lastAppends.set(jobId, append)));
+  starts.forEach((start) => lastAppends.get(start.task.jobId)?.startsToSend.push(start));
+};
+
+/** Creates the next appends to a stream, in order. */
+const createAppends: Record<
   LeaderStream,
-  (state: State, term: Term, now: Now) => PendingAppend | null
+  (state: State, term: Term, maxBytes: number, now: Now) => PendingAppend[]
 > = {
-  journal: (state, term, now) => {
+  journal: (state, term, maxBytes, now) => {
     const records = takeJournalRecords(state, term, now);
-    return records.length > 0 ? createAppend(term, 'journal', records, now) : null;
+    const units = records.map((record) => ({ jobId: null, records: [record] }));
+    return groupUnits(units, maxBytes).map((group) => createAppend('journal', group, now));
   },
-  runs: (_state, term, now) => {
-    const records = takeRunsRecords(term, now);
-    if (records.length === 0) {
+  runs: (state, term, maxBytes, now) => {
+    const units = takeRunsUnits(term, state.storeLimits, now);
+    const groups = groupUnits(units, maxBytes);
+    const appends = groups.map((group) => createAppend('runs', group, now));
+    const last = appends.at(-1);
+    if (!last) {
       acknowledgeEnds(term);
-      return null;
+      return [];
     }
-    const append = createAppend(term, 'runs', records, now);
-    append.startsToSend = listRecordingStarts(term);
-    append.endsToAcknowledge = listUnacknowledgedEnds(term);
+    assignStarts(appends, listRecordingStarts(term));
+    // Ends are acknowledged by number, so that those of a worker wait for the progress of all its jobs.
+    last.endsToAcknowledge = listUnacknowledgedEnds(term);
     term.endAcksDue = false;
-    return append;
+    return appends;
   },
 };
 
 const advanceWriter = (state: State, term: Term, stream: LeaderStream, now: Now): Effect[] => {
-  if (term.writers[stream].pending) return retryAppend(state, term, stream, now);
-  const next = beginAppend[stream](state, term, now);
-  return next ? sendAppend(state, term, next) : [];
+  const writer = term.writers[stream];
+  if (writer.pending) return retryAppend(state, term, stream, now);
+  if (writer.queued.length === 0) {
+    const maxBytes = Math.min(maxAppendBytes, state.storeLimits.maxCallBytes);
+    writer.queued = createAppends[stream](state, term, maxBytes, now);
+  }
+  const next = writer.queued.shift();
+  return next ? beginAppend(state, term, next, now) : [];
 };
 
 /** Appends changed records, one append per stream at a time, and retries unanswered appends. */
--- a/src/control/progress/createAppend.ts
+++ b/src/control/progress/createAppend.ts
@@ -1,29 +1,21 @@
-import type { Term } from '../lead/Term.js';
 import type { Now } from '../Now.js';
+import type { AppendUnit } from './AppendUnit.js';
 import type { LeaderStream } from './LeaderStream.js';
 import type { PendingAppend } from './PendingAppend.js';
 
-/** Creates the leader's next append to a stream and makes it pending. */
+/** Creates an append of the leader to a stream. */
 export const createAppend = (
-  term: Term,
   stream: LeaderStream,
-  records: PendingAppend['records'],
+  units: AppendUnit[],
   now: Now,
-): PendingAppend => {
-  const writer = term.writers[stream];
-  const append: PendingAppend = {
-    stream,
-    appendId: 0,
-    records,
-    sequence: writer.nextSequence,
-    startsToSend: [],
-    endsToAcknowledge: [],
-    firstAttemptAt: now.at,
-    firstAttemptResponsiveAt: now.responsiveAt,
-    nextAttemptAt: now.at,
-  };
-  writer.nextSequence += 1;
-  writer.pending = append;
-  writer.lastAppendAt = now.at;
-  return append;
-};
+): PendingAppend => ({
+  stream,
+  appendId: 0,
+  units,
+  sequence: 0,
+  startsToSend: [],
+  endsToAcknowledge: [],
+  createdAt: now.at,
+  createdResponsiveAt: now.responsiveAt,
+  nextAttemptAt: now.at,
+});
--- a/src/control/progress/finishAppend.ts
+++ b/src/control/progress/finishAppend.ts
@@ -14,9 +14,9 @@
 // Shorter than the silence after which another VM claims the lead.
 const maxPauseMs = 1000;
 
-/** Time during the append in which this VM was not responsive, because of a pause or a long turn. */
+/** Time since the append was created in which this VM was not responsive, because of a pause or a long turn. */
 const computePauseMs = (append: PendingAppend, now: Now): number =>
-  now.at - append.firstAttemptAt - (now.responsiveAt - append.firstAttemptResponsiveAt);
+  now.at - append.createdAt - (now.responsiveAt - append.createdResponsiveAt);
 
 /**
  * Why the starts of an append must not be sent: another VM may lead by now and have given them up, or their
@@ -43,7 +43,7 @@
   const { pending: append } = writer;
   if (!append) return [];
   writer.pending = null;
-  confirmLead(term, append.firstAttemptAt, now);
+  confirmLead(term, append.createdAt, now);
   append.endsToAcknowledge.forEach(({ workerId, incarnation, endNumber }) => {
     const worker = term.workers.get(workerId);
     if (!worker || worker.incarnation !== incarnation) return;
@@ -58,7 +58,10 @@
   const effects = starts.flatMap(({ task }) =>
     withdrawalCause ? requeueTask(term, task, withdrawalCause, now) : sendStart(term, task, now),
   );
-  dropEndedPlans(term, append.records);
-  const ms = now.at - append.firstAttemptAt;
+  dropEndedPlans(
+    term,
+    append.units.flatMap(({ records }) => records),
+  );
+  const ms = now.at - append.createdAt;
   return [{ type: 'observe', name: 'journal_write_ms', ms }, ...effects];
 };
--- a/src/control/progress/sendAppend.ts
+++ b/src/control/progress/sendAppend.ts
@@ -17,7 +17,7 @@
       type: 'append',
       appendId: append.appendId,
       stream: append.stream,
-      records: append.records,
+      records: append.units.flatMap(({ records }) => records),
       condition: { type: 'fenced', token: term.token, sequence: append.sequence },
       timeoutMs: appendTimeoutMs,
     },
--- a/src/control/progress/takeJournalRecords.ts
+++ b/src/control/progress/takeJournalRecords.ts
@@ -21,7 +21,7 @@
 /** Drops expired jobs; their progress is dropped by the next append to the runs stream. */
 const dropExpiredJobs = (state: State, term: Term, now: Now): JournalRecord[] =>
   listExpiredJobIds(state, now).flatMap((id): JournalRecord[] => {
-    term.orphanedJobIds.add(id);
+    term.orphanedRecords.push({ recordType: 'progress', id });
     return [
       { type: 'dropped', recordType: 'cancellation', id },
       { type: 'dropped', recordType: 'status', id },
@@ -46,5 +46,5 @@
   if (!isLeaderRecordDue(term, now)) return records;
   const leaderRecord = buildLeaderRecord(state, term);
   term.handover = writtenHandover[term.handover];
-  return [...records, leaderRecord, ...dropExpiredJobs(state, term, now)];
+  return [leaderRecord, ...records, ...dropExpiredJobs(state, term, now)];
 };
--- a/src/control/report/describeJob.ts
+++ b/src/control/report/describeJob.ts
@@ -1,5 +1,7 @@
+import type { JobProgress } from '../jobs/JobProgress.js';
 import type { JobState } from '../jobs/JobState.js';
 import type { TaskProgress } from '../jobs/TaskProgress.js';
+import { mergeProgress } from '../plans/mergeProgress.js';
 import { listRecords } from './listRecords.js';
 import type { StoreContent } from './StoreContent.js';
 
@@ -18,7 +20,23 @@
   failures: number;
 }
 
-const noProgress = { tasks: [], nextOccurrence: 0, openOccurrences: [] };
+const noProgress: Pick<JobProgress, 'tasks' | 'nextOccurrence' | 'openOccurrences'> = {
+  tasks: [],
+  nextOccurrence: 0,
+  openOccurrences: [],
+};
+
+/** Finds the progress of a job, which may be divided into parts. */
+const findProgress = ({ runs }: StoreContent, id: string): typeof noProgress => {
+  const main = listRecords(runs, 'progress').find((record) => record.id === id);
+  const head = listRecords(runs, 'progressHead').find((record) => record.id === id);
+  const merged = mergeProgress({
+    main: main ? { ...main.progress, offset: main.offset } : null,
+    head: head ? { ...head.head, offset: head.offset } : null,
+    parts: listRecords(runs, 'progressPart').filter((record) => record.id === id),
+  });
+  return merged?.progress ?? noProgress;
+};
 
 const countStep = (tasks: readonly TaskProgress[], step: number, state: TaskProgress['state']) =>
   tasks.filter((task) => task.step === step && task.state === state).length;
@@ -30,8 +48,7 @@
   )?.submission;
   if (!job) return null;
   const status = listRecords(content.journal, 'status').find((record) => record.id === id);
-  const progress = listRecords(content.runs, 'progress').find((record) => record.id === id);
-  const { tasks, nextOccurrence, openOccurrences } = progress?.progress ?? noProgress;
+  const { tasks, nextOccurrence, openOccurrences } = findProgress(content, id);
   const doneOccurrences = nextOccurrence - openOccurrences.length;
   return {
     id,
--- a/src/control/runs/handleRunDone.ts
+++ b/src/control/runs/handleRunDone.ts
@@ -4,6 +4,7 @@
 import { findTask } from '../plans/findTask.js';
 import { finishPlan } from '../plans/finishPlan.js';
 import type { JobPlan } from '../plans/JobPlan.js';
+import { markUnwritten } from '../plans/markUnwritten.js';
 import { markTaskDone } from '../plans/markTaskDone.js';
 import type { Task } from '../plans/Task.js';
 import { releaseResources } from '../workers/releaseResources.js';
@@ -44,7 +45,7 @@
     return effects;
   }
   markTaskDone(location.plan, location.occurrence, location.step, task);
-  term.dirtyJobIds.add(task.jobId);
+  markUnwritten(term, task.jobId, [task]);
   if (isPlanDone(location.plan)) effects.push(...finishPlan(term, location.plan, 'completed', now));
   return effects;
 };
--- a/src/control/runs/requeueTask.ts
+++ b/src/control/runs/requeueTask.ts
@@ -3,6 +3,7 @@
 import type { Now } from '../Now.js';
 import { findTask } from '../plans/findTask.js';
 import { isJobEnded } from '../plans/isJobEnded.js';
+import { markUnwritten } from '../plans/markUnwritten.js';
 import type { Task } from '../plans/Task.js';
 import { recordUsage } from '../usage/recordUsage.js';
 import { describeWorkerView } from '../workers/describeWorkerView.js';
@@ -44,7 +45,7 @@
   const log: Effect = { type: 'log', level: 'info', code: 'run_over', fields };
   const location = findTask(term, task);
   if (!location || location.step.remaining === 0 || isJobEnded(location.plan.state)) return [log];
-  term.dirtyJobIds.add(task.jobId);
+  markUnwritten(term, task.jobId, [task]);
   location.step.readySince = now.at;
   if (location.step.definition.gang) term.incompleteGangs.add(location.step);
   return [log];
--- a/src/control/settings/settingsHandlers.ts
+++ b/src/control/settings/settingsHandlers.ts
@@ -12,7 +12,8 @@
   settingsChanged: (state, { settings }) => {
     state.self.cores = settings.cores;
     state.bounds = mergeBounds(state.bounds, settings.bounds);
-    const fields = { cores: settings.cores, ...state.bounds };
+    state.storeLimits = settings.storeLimits;
+    const fields = { cores: settings.cores, ...state.bounds, ...state.storeLimits };
     return [{ type: 'log', level: 'info', code: 'settings_applied', fields }];
   },
 };
--- a/src/control/shutdown/shutdownHandlers.ts
+++ b/src/control/shutdown/shutdownHandlers.ts
@@ -5,8 +5,9 @@
 import type { HandlerTable } from '../HandlerTable.js';
 import type { Now } from '../Now.js';
 import { buildLeaderRecord } from '../progress/buildLeaderRecord.js';
+import { beginAppend } from '../progress/beginAppend.js';
 import { createAppend } from '../progress/createAppend.js';
-import { sendAppend } from '../progress/sendAppend.js';
+import { isWriterIdle } from '../progress/isWriterIdle.js';
 import type { State } from '../State.js';
 
 // The load balancer reacts after two failed checks one second apart; clients then need time to switch.
@@ -36,11 +37,12 @@
 const resignLeadership = (state: State, now: Now): Effect[] => {
   const { term, shutdownAt } = state;
   if (!term || shutdownAt === null) return [];
-  if (term.writers.journal.pending || term.writers.runs.pending) {
+  if (!isWriterIdle(term.writers.journal) || !isWriterIdle(term.writers.runs)) {
     return now.at - shutdownAt > resignTimeoutMs ? endTerm(state, 'resigned', now) : [];
   }
-  const resignation = createAppend(term, 'journal', [buildLeaderRecord(state, term)], now);
-  return [...sendAppend(state, term, resignation), ...endTerm(state, 'resigned', now)];
+  const unit = { jobId: null, records: [buildLeaderRecord(state, term)] };
+  const resignation = createAppend('journal', [unit], now);
+  return [...beginAppend(state, term, resignation, now), ...endTerm(state, 'resigned', now)];
 };
 
 /** Answers the requests that still wait for an append or a read, because the process ends before their deadline. */
--- a/test/control/fuzz/SubmissionKind.ts
+++ b/test/control/fuzz/SubmissionKind.ts
@@ -8,4 +8,7 @@
   | 'submitSpread'
   | 'submitLabelled'
   | 'submitLongRunning'
-  | 'submitLong';
+  | 'submitLong'
+  | 'submitMany'
+  | 'submitManyGang'
+  | 'submitManyScheduled';
--- a/test/control/fuzz/runScenario.ts
+++ b/test/control/fuzz/runScenario.ts
@@ -111,8 +111,12 @@
     : [];
 
 /** Runs a random scenario on virtual time; returns the violations of guarantees. */
-export const runScenario = (seed: number, actions: readonly ScenarioAction[]): string[] => {
-  const platform = createFakePlatform({ vms: 3, workers: 6, seed });
+export const runScenario = (
+  seed: number,
+  actions: readonly ScenarioAction[],
+  sizes: Pick<Parameters<typeof createFakePlatform>[0], 'storeLimits' | 'checkpointPadding'> = {},
+): string[] => {
+  const platform = createFakePlatform({ vms: 3, workers: 6, seed, ...sizes });
   const scenario: Scenario = {
     platform,
     requestIdsByJob: new Map(),
--- a/test/control/fuzz/scenarioArbitrary.ts
+++ b/test/control/fuzz/scenarioArbitrary.ts
@@ -7,6 +7,9 @@
 
 type Kind = ScenarioAction['kind'];
 
+/** Jobs whose progress outgrows a record of a store with small limits. */
+const largeKinds: Kind[] = ['submitMany', 'submitManyGang', 'submitManyScheduled'];
+
 /** Faults that come between a cancel and the leader's stops. */
 const kindsBesideCancels: Kind[] = [
   'delayWorkerCalls',
@@ -102,6 +105,13 @@
 
 /** Random scenarios without and with faults; with faults, about half of the steps submit jobs on average. */
 export const scenarioArbitrary = {
+  ofLargeJobs: createScenarios(
+    fc.oneof(
+      { weight: 3, arbitrary: fc.constantFrom(...largeKinds) },
+      { weight: 1, arbitrary: fc.constantFrom(...submissionKinds, ...cancelKinds) },
+      { weight: 3, arbitrary: fc.constantFrom(...kinds) },
+    ),
+  ),
   faultFree: createScenarios(fc.constantFrom(...faultFreeKinds)),
   withFaults: fc.oneof(
     {
--- a/test/control/fuzz/submissionHandlers.ts
+++ b/test/control/fuzz/submissionHandlers.ts
@@ -72,6 +72,30 @@
     runMs: 6000 + 2 * durationMs,
     steps: [{ count: 4 }],
   })),
+  // These have more tasks than fit into a record of a store with small limits.
+  submitMany: createSubmitHandler(({ target, durationMs }) => ({
+    gpu: 0,
+    runMs: 300 + durationMs,
+    steps: [
+      { count: 40, checkpointing: target % 2 === 0 },
+      { count: 10, after: [0] },
+    ],
+  })),
+  submitManyGang: createSubmitHandler(({ durationMs }) => ({
+    gpu: 0,
+    runMs: 300 + durationMs,
+    steps: [{ count: 40, gang: true, checkpointing: true }, { count: 5 }],
+  })),
+  submitManyScheduled: createSubmitHandler(({ target, durationMs }, now) => ({
+    gpu: 0,
+    runMs: 200,
+    steps: [{ count: 30 }, { count: 5, after: [0] }],
+    schedule: {
+      count: 3,
+      startAt: simulationStartMs + now + target * 100,
+      intervalMs: 200 + durationMs / 4,
+    },
+  })),
   // Either ends repeatedly and has to be restarted, or outlives the scenario.
   submitLongRunning: createSubmitHandler(({ target, durationMs }) => ({
     runMs: target % 2 === 0 ? 1000 + durationMs : 600_000,
--- a/test/control/largeProgress.test.ts
+++ b/test/control/largeProgress.test.ts
@@ -43,6 +43,7 @@
     peakGpu: 0,
     occurrences: new Map(),
     nextOccurrence: 0,
+    parts: null,
   };
 };
 
--- a/test/control/simulation/FakePlatform.ts
+++ b/test/control/simulation/FakePlatform.ts
@@ -1,3 +1,4 @@
+import type { StoreLimits } from '../../../src/control/settings/StoreLimits.js';
 import type { Effect } from '../../../src/control/Effect.js';
 import type { UntimedEvent } from '../../../src/control/UntimedEvent.js';
 import type { CallerAnswer } from '../../../src/control/callers/CallerAnswer.js';
@@ -24,14 +25,16 @@
   /** Virtual times of these answers, by request ID. */
   answerTimes: Map<number, number>;
   logs: { at: number; vmId: string; code: string; fields: Record<string, unknown> }[];
-  /** Actions that run at a later virtual time; `sequence` orders those of the same time. */
-  scheduledActions: { at: number; sequence: number; action: () => void }[];
-  /** Sequence number of the action that was scheduled last. */
-  sequence: number;
+  /** Actions that run at a later virtual time, ordered by it; those of the same time in the order of their creation. */
+  scheduledActions: { at: number; action: () => void }[];
   /** Violations of guarantees that were detected during the simulation. */
   violations: string[];
   /** Maximum lease that workers grant. */
   maxLeaseMs: number;
+  /** Sizes that the store accepts. */
+  storeLimits: StoreLimits;
+  /** Characters by which checkpoints are longer than they need to be. */
+  checkpointPadding: number;
   /** IDs of the VMs and workers in a zone that is cut off: they reach each other only, and not the store. */
   cutIds: Set<string>;
   /** IDs of the workers that can't write to the store; the VMs reach them unless another cut prevents it. */
--- a/test/control/simulation/computeCheckpoint.ts
+++ b/test/control/simulation/computeCheckpoint.ts
@@ -10,5 +10,8 @@
   const workedMs = run.workStartedAt === null ? 0 : platform.now - run.workStartedAt;
   const savedMs = parseCheckpointMs(run.checkpoint) + workedMs;
   const checkpointedMs = Math.floor(savedMs / checkpointIntervalMs) * checkpointIntervalMs;
-  return checkpointedMs === 0 ? '' : `${run.task}@${checkpointedMs}`;
+  if (checkpointedMs === 0) return '';
+  const checkpoint = `${run.task}@${checkpointedMs}`;
+  const { checkpointPadding } = platform;
+  return checkpointPadding === 0 ? checkpoint : `${checkpoint}@${'-'.repeat(checkpointPadding)}`;
 };
--- a/test/control/simulation/createFakePlatform.ts
+++ b/test/control/simulation/createFakePlatform.ts
@@ -1,6 +1,8 @@
 import { createState } from '../../../src/control/createState.js';
 import { reduce } from '../../../src/control/reduce.js';
 import type { Effect } from '../../../src/control/Effect.js';
+import { defaultStoreLimits } from '../../../src/control/settings/defaultStoreLimits.js';
+import type { StoreLimits } from '../../../src/control/settings/StoreLimits.js';
 import type { StreamName } from '../../../src/control/streams/StreamName.js';
 import { scheduleAfter } from './scheduleAfter.js';
 import type { FakeVm } from './FakeVm.js';
@@ -72,6 +74,7 @@
   vm.state = createState(
     { vmId: vm.id, zone: 'z', cores: vm.cores, incarnation: `${vm.id}-${incarnation}` },
     { ...bounds, maxLeaseMs: platform.maxLeaseMs },
+    platform.storeLimits,
   );
   platform.push(vm, { type: 'started' });
   const tick = (): void => {
@@ -152,6 +155,10 @@
   maxLeaseMs?: number;
   /** CPU share of each VM, in cores. */
   cores?: number[];
+  /** Sizes that the store accepts. */
+  storeLimits?: StoreLimits;
+  /** Characters by which checkpoints are longer than they need to be. */
+  checkpointPadding?: number;
 }
 
 const createStore = (): FakeStore => {
@@ -192,9 +199,10 @@
     answerTimes: new Map(),
     logs: [],
     scheduledActions: [],
-    sequence: 0,
     violations: [],
     maxLeaseMs,
+    storeLimits: options.storeLimits ?? defaultStoreLimits,
+    checkpointPadding: options.checkpointPadding ?? 0,
     cutIds: new Set(),
     storeCutWorkerIds: new Set(),
     vmCutWorkerIds: new Set(),
--- a/test/control/simulation/findJobViolations.ts
+++ b/test/control/simulation/findJobViolations.ts
@@ -31,8 +31,11 @@
   return step.gang ? indexes.some(isDone) : indexes.every(isDone);
 };
 
+/** Gets the beginning of the names of all tasks of a task's step. */
+const getStepPrefix = (task: string): string => task.slice(0, task.lastIndexOf('.') + 1);
+
 const listSiblings = (platform: FakePlatform, run: FakeRun): FakeRun[] => {
-  const step = run.task.slice(0, run.task.lastIndexOf('.') + 1);
+  const step = getStepPrefix(run.task);
   return platform.runs.filter(({ task }) => task.startsWith(step));
 };
 
@@ -66,8 +69,16 @@
   'on a worker without the required label': (platform, run, { step }) =>
     step.requiredLabel !== '' &&
     !platform.workers.get(run.workerId)!.entry.labels.includes(step.requiredLabel),
-  'from a checkpoint of another task': (_platform, run) =>
-    run.checkpoint !== '' && !run.checkpoint.startsWith(`${run.task}@`),
+  'from a checkpoint of another task': (_platform, run, { step }) =>
+    run.checkpoint !== '' && !step.gang && !run.checkpoint.startsWith(`${run.task}@`),
+  // The checkpoint of any member is valid for its gang, and all members resume from the same one.
+  'from a checkpoint of another gang': (platform, run, { step }) =>
+    run.checkpoint !== '' &&
+    step.gang &&
+    (!run.checkpoint.startsWith(getStepPrefix(run.task)) ||
+      listSiblings(platform, run).some(
+        (other) => other.run === run.run && other.checkpoint !== run.checkpoint,
+      )),
 };
 
 /** Finds starts that violate the definition of their job. */
--- a/test/control/simulation/scheduleAfter.ts
+++ b/test/control/simulation/scheduleAfter.ts
@@ -6,10 +6,14 @@
   delayMs: number,
   action: () => void,
 ): void => {
-  platform.sequence += 1;
-  platform.scheduledActions.push({
-    at: platform.now + delayMs,
-    sequence: platform.sequence,
-    action,
-  });
+  const { scheduledActions } = platform;
+  const at = platform.now + delayMs;
+  let low = 0;
+  let high = scheduledActions.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (scheduledActions[middle]!.at <= at) low = middle + 1;
+    else high = middle;
+  }
+  scheduledActions.splice(low, 0, { at, action });
 };
--- a/test/control/simulation/serveStore.ts
+++ b/test/control/simulation/serveStore.ts
@@ -13,10 +13,10 @@
 // An append without answer is applied this long after its timeout.
 const minLateAppendMs = 500;
 const maxLateAppendMs = 3000;
-// The store refuses an append with a longer record, as `max_record_bytes` of the settings says.
-const maxRecordBytes = 262_144;
 // Length of the key, which precedes it in the record.
 const keyHeaderBytes = 1;
+// Length of the record, which precedes it in the append.
+const lengthBytes = 4;
 
 type Reply = (event: StreamEvent) => void;
 type EffectOf<T extends StreamEffect['type']> = Extract<StreamEffect, { type: T }>;
@@ -101,6 +101,16 @@
 const measureRecordBytes = ({ key, value }: EncodedRecord): number =>
   keyHeaderBytes + Buffer.byteLength(key) + value.length;
 
+/** Whether a record is longer than the store takes, or all of them together are. */
+const isTooLarge = (
+  { storeLimits: { maxRecordBytes, maxCallBytes } }: FakePlatform,
+  records: readonly EncodedRecord[],
+): boolean => {
+  const sizes = records.map(measureRecordBytes);
+  const total = sizes.reduce((sum, bytes) => sum + lengthBytes + bytes, 0);
+  return total > maxCallBytes || sizes.some((bytes) => bytes > maxRecordBytes);
+};
+
 /** Appends the records if the condition of the call holds; a repeated fenced append gets its first answer. */
 const append = (platform: FakePlatform, effect: EffectOf<'append'>): StreamEvent => {
   const { appendId, stream, records, condition } = effect;
@@ -114,7 +124,7 @@
     reason,
     endOffset: end,
   });
-  if (encoded.some((record) => measureRecordBytes(record) > maxRecordBytes)) return fail('invalid');
+  if (isTooLarge(platform, encoded)) return fail('invalid');
   if (condition.type === 'endsAt' && condition.offset !== end) return fail('conflict');
   if (condition.type === 'fenced') {
     const fence = store.fences[stream];
