Set aside what the store refuses instead of ending the term

Cause: handleAppendFailure ended the term on each failure that a retry can't cure. A higher token or a wrong sequence is cured by the next leader; a refused record isn't: the next one writes it again and ends its term too. Ruled out by reading PROTOCOL.md: that a refused append has taken effect ("appended all or nothing"), so that its number may be used again.

--- a/src/control/lead/Term.ts
+++ b/src/control/lead/Term.ts
@@ -3,6 +3,7 @@
 import type { Task } from '../plans/Task.js';
 import type { ProgressRecordName } from '../journal/ProgressRecordName.js';
 import type { LeaderStream } from '../progress/LeaderStream.js';
+import type { RefusedJob } from '../progress/RefusedJob.js';
 import type { StreamWriter } from '../progress/StreamWriter.js';
 import type { UsageTotal } from '../usage/UsageTotal.js';
 import type { Worker } from '../workers/Worker.js';
@@ -44,6 +45,8 @@
   incompleteGangs: Set<StepPlan>;
   /** By ID of the jobs whose progress has to be written, the tasks whose rows have changed. */
   unwrittenTasks: Map<string, Set<Task>>;
+  /** Jobs whose progress the store refused, by ID. */
+  refusedJobs: Map<string, RefusedJob>;
   /** IDs of jobs whose state has to be published. */
   unpublishedJobIds: Set<string>;
   /** Records of progress that no job needs any more, which have to be dropped. */
--- a/src/control/lead/beginTerm.ts
+++ b/src/control/lead/beginTerm.ts
@@ -36,6 +36,7 @@
     invalidEntryFields: new Map(),
     incompleteGangs: new Set(),
     unwrittenTasks: new Map(),
+    refusedJobs: new Map(),
     unpublishedJobIds: new Set(),
     orphanedRecords: [],
     writers: { journal: createWriter(now), runs: createWriter(now) },
--- a/src/control/placement/collectUnits.ts
+++ b/src/control/placement/collectUnits.ts
@@ -40,7 +40,7 @@
 ): PlacementUnit[] => {
   const units: PlacementUnit[] = [];
   term.plans.forEach((plan) => {
-    if (isJobEnded(plan.state)) return;
+    if (isJobEnded(plan.state) || term.refusedJobs.has(plan.id)) return;
     addDueOccurrences(plan, now);
     plan.occurrences.forEach((occurrence) => {
       occurrence.steps.forEach((step) => {
--- a/src/control/progress/appendChanges.ts
+++ b/src/control/progress/appendChanges.ts
@@ -3,9 +3,11 @@
 import type { Now } from '../Now.js';
 import type { State } from '../State.js';
 import { acknowledgeEnds } from './acknowledgeEnds.js';
+import { assignStarts } from './assignStarts.js';
 import { beginAppend } from './beginAppend.js';
 import { createAppend } from './createAppend.js';
 import { groupUnits } from './groupUnits.js';
+import { isEndHeld } from './isEndHeld.js';
 import type { LeaderStream } from './LeaderStream.js';
 import type { PendingAppend } from './PendingAppend.js';
 import { retryAppend } from './retryAppend.js';
@@ -17,7 +19,10 @@
 
 const listUnacknowledgedEnds = (term: Term): PendingAppend['endsToAcknowledge'] =>
   [...term.workers.values()]
-    .filter(({ lastAppliedEnd, lastPersistedEnd }) => lastAppliedEnd > lastPersistedEnd)
+    .filter(
+      ({ id, lastAppliedEnd, lastPersistedEnd }) =>
+        lastAppliedEnd > lastPersistedEnd && !isEndHeld(term, id),
+    )
     .map(({ id, incarnation, lastAppliedEnd }) => ({
       workerId: id,
       incarnation,
@@ -31,13 +36,6 @@
       .map((task) => ({ task, run: task.run })),
   );
 
-/** Assigns each start to the append with which its job's progress is complete. */
-const assignStarts = (appends: readonly PendingAppend[], starts: PendingAppend['startsToSend']) => {
-  const lastAppends = new Map<string | null, PendingAppend>();
-  appends.forEach((append) => append.units.forEach(({ jobId }) => lastAppends.set(jobId, append)));
-  starts.forEach((start) => lastAppends.get(start.task.jobId)?.startsToSend.push(start));
-};
-
 /** Creates the next appends to a stream, in order. */
 const createAppends: Record<
   LeaderStream,
--- a/src/control/progress/buildProgressRecords.ts
+++ b/src/control/progress/buildProgressRecords.ts
@@ -4,6 +4,7 @@
 import { buildProgress } from '../plans/buildProgress.js';
 import { isJobEnded } from '../plans/isJobEnded.js';
 import type { JobPlan } from '../plans/JobPlan.js';
+import { listStartedTasks } from '../plans/listStartedTasks.js';
 import type { ProgressParts } from '../plans/ProgressParts.js';
 import type { Task } from '../plans/Task.js';
 import type { StoreLimits } from '../settings/StoreLimits.js';
@@ -12,13 +13,6 @@
 
 type ProgressRecord = Extract<RunsRecord, { type: 'progress' }>;
 
-const listStartedTasks = ({ occurrences }: JobPlan): Set<Task> =>
-  new Set(
-    [...occurrences.values()].flatMap(({ steps }) =>
-      steps.flatMap(({ tasks }) => tasks.filter(({ run }) => run > 0)),
-    ),
-  );
-
 /** The members of a gang share its failures, its checkpoint and its end. */
 const addGangMembers = (plan: JobPlan, changed: ReadonlySet<Task>): Set<Task> =>
   new Set(
--- a/src/control/progress/finishAppend.ts
+++ b/src/control/progress/finishAppend.ts
@@ -8,6 +8,7 @@
 import { sendStart } from '../runs/sendStart.js';
 import type { State } from '../State.js';
 import { isCurrent } from '../streams/isCurrent.js';
+import { isEndHeld } from './isEndHeld.js';
 import type { PendingAppend } from './PendingAppend.js';
 import type { StreamWriter } from './StreamWriter.js';
 
@@ -33,6 +34,16 @@
   return isCurrent(state, 'journal', now) ? null : 'journal-behind';
 };
 
+/** Ends the hold-up of refused jobs whose progress is stored by now. */
+const releaseStoredJobs = (term: Term, { queued }: StreamWriter, { units }: PendingAppend): void =>
+  units.forEach(({ jobId }) => {
+    if (jobId === null || !term.refusedJobs.has(jobId)) return;
+    if (queued.some((append) => append.units.some((unit) => unit.jobId === jobId))) return;
+    term.refusedJobs.delete(jobId);
+    term.endAcksDue = true;
+    term.placementDue = true;
+  });
+
 /** Completes a successful append: sends or withdraws its starts and allows its ends to be acknowledged. */
 export const finishAppend = (
   state: State,
@@ -46,11 +57,12 @@
   confirmLead(term, append.createdAt, now);
   append.endsToAcknowledge.forEach(({ workerId, incarnation, endNumber }) => {
     const worker = term.workers.get(workerId);
-    if (!worker || worker.incarnation !== incarnation) return;
+    if (!worker || worker.incarnation !== incarnation || isEndHeld(term, workerId)) return;
     worker.lastPersistedEnd = Math.max(worker.lastPersistedEnd, endNumber);
     worker.ackDue = true;
     worker.nextPollAt = Math.min(worker.nextPollAt, now.at);
   });
+  releaseStoredJobs(term, writer, append);
   const starts = append.startsToSend.filter(
     ({ task, run }) => task.state === 'recording' && task.run === run,
   );
--- a/src/control/progress/progressHandlers.ts
+++ b/src/control/progress/progressHandlers.ts
@@ -13,7 +13,8 @@
     return finishAppend(state, term, writer, event);
   },
   appendFailed: (state, event) => {
-    const append = state.term && findWriter(state.term, event.appendId)?.pending;
-    return append ? handleAppendFailure(state, append, event.reason, event) : [];
+    const { term } = state;
+    const append = term && findWriter(term, event.appendId)?.pending;
+    return append ? handleAppendFailure(state, term, append, event.reason, event) : [];
   },
 };
--- a/src/control/progress/takeRunsUnits.ts
+++ b/src/control/progress/takeRunsUnits.ts
@@ -7,6 +7,10 @@
 import { buildProgressRecords } from './buildProgressRecords.js';
 import { takeSpeedRecords } from './takeSpeedRecords.js';
 
+/** Whether the store refused the progress of the job a moment ago. */
+const isSetAside = ({ refusedJobs }: Term, id: string, now: Now): boolean =>
+  now.at < (refusedJobs.get(id)?.retryAt ?? 0);
+
 const toUnit = (record: RunsRecord): AppendUnit => ({ jobId: null, records: [record] });
 
 /**
@@ -17,12 +21,13 @@
   const jobs: AppendUnit[] = [];
   term.unwrittenTasks.forEach((tasks, id) => {
     const plan = term.plans.get(id);
+    if (isSetAside(term, id, now)) return;
+    term.unwrittenTasks.delete(id);
     if (!plan) return;
     jobs.push({ jobId: id, records: buildProgressRecords(plan, tasks, limits, now) });
   });
   jobs.sort((a, b) => a.records.length - b.records.length);
   const orphans = term.orphanedRecords.map((name): RunsRecord => ({ type: 'dropped', ...name }));
-  term.unwrittenTasks.clear();
   term.orphanedRecords = [];
   // Usage comes last: if the leader ends between two appends, a run is left out rather than counted twice.
   return [
--- a/src/control/runs/RequeueCause.ts
+++ b/src/control/runs/RequeueCause.ts
@@ -13,4 +13,5 @@
   | 'worker-unusable'
   | 'leader-paused'
   | 'lead-unconfirmed'
-  | 'journal-behind';
+  | 'journal-behind'
+  | 'progress-refused';
--- a/test/control/fuzz/ScenarioAction.ts
+++ b/test/control/fuzz/ScenarioAction.ts
@@ -29,6 +29,7 @@
     | 'delayReads'
     | 'expireJournal'
     | 'delayAppends'
+    | 'refuseProgress'
     | 'loseWorkerCalls'
     | RegistryKind
     | LeaderKind;
--- a/test/control/fuzz/applyAction.ts
+++ b/test/control/fuzz/applyAction.ts
@@ -201,6 +201,15 @@
       platform.store.lateAppendShare = 0;
     });
   },
+  refuseProgress: ({ platform, requestIdsByJob }, { target, durationMs }) => {
+    const ids = [...requestIdsByJob.keys()];
+    if (ids.length === 0) return;
+    const id = ids[target % ids.length]!.padStart(16, '0');
+    platform.store.refusesRecord = ({ key }) => /^[poq]\//.test(key) && key.includes(id);
+    scheduleAfter(platform, durationMs, () => {
+      platform.store.refusesRecord = () => false;
+    });
+  },
   loseWorkerCalls: ({ platform }, { durationMs }) => {
     platform.lostCallShare = 0.3;
     scheduleAfter(platform, durationMs, () => {
--- a/test/control/fuzz/buildFaultWindows.ts
+++ b/test/control/fuzz/buildFaultWindows.ts
@@ -66,6 +66,7 @@
   drainThenCut: createBuilder('elsewhere', (durationMs) => 8500 + durationMs),
   restartUnregistered: createBuilder('elsewhere', () => 0),
   restartDuringCall: createBuilder('elsewhere', () => 3500),
+  refuseProgress: createBuilder('elsewhere', (durationMs) => durationMs + 4000),
   // Until the last append that was sent meanwhile is stored.
   delayAppends: createBuilder('elsewhere', (durationMs) => durationMs + 4000),
 };
--- a/test/control/fuzz/runScenario.ts
+++ b/test/control/fuzz/runScenario.ts
@@ -81,6 +81,9 @@
       : [];
   });
 
+/** Faults by which a job may fail. */
+const failureKinds: readonly ScenarioAction['kind'][] = ['failWorker', 'refuseProgress'];
+
 const findUnexpectedOutcomes = (
   platform: FakePlatform,
   actions: readonly ScenarioAction[],
@@ -91,7 +94,7 @@
     const state = getJobState(platform, id);
     if (state === 'cancelled' && !cancelledJobs.has(jobId))
       return [`job ${jobId} was never cancelled`];
-    const failuresInjected = actions.some(({ kind }) => kind === 'failWorker');
+    const failuresInjected = actions.some(({ kind }) => failureKinds.includes(kind));
     return state === 'failed' && !failuresInjected
       ? [`job ${jobId} failed without an injected failure`]
       : [];
--- a/test/control/fuzz/scenarioArbitrary.ts
+++ b/test/control/fuzz/scenarioArbitrary.ts
@@ -109,7 +109,7 @@
     fc.oneof(
       { weight: 3, arbitrary: fc.constantFrom(...largeKinds) },
       { weight: 1, arbitrary: fc.constantFrom(...submissionKinds, ...cancelKinds) },
-      { weight: 3, arbitrary: fc.constantFrom(...kinds) },
+      { weight: 3, arbitrary: fc.constantFrom(...kinds, 'refuseProgress' as const) },
     ),
   ),
   faultFree: createScenarios(fc.constantFrom(...faultFreeKinds)),
--- a/test/control/simulation/FakeStore.ts
+++ b/test/control/simulation/FakeStore.ts
@@ -32,6 +32,8 @@
   fences: Record<StreamName, FakeFence>;
   /** Whether every call is refused. */
   refusing: boolean;
+  /** Whether the store takes no append with this record, whatever the leader. */
+  refusesRecord: (record: EncodedRecord) => boolean;
   /** IDs of the VMs whose reads are refused, while their appends are served. */
   refusedReaderIds: Set<string>;
   /** Whether every call is left unanswered and has no effect. */
--- a/test/control/simulation/createFakePlatform.ts
+++ b/test/control/simulation/createFakePlatform.ts
@@ -175,6 +175,7 @@
     pendingReads: forEachStream(() => []),
     fences: forEachStream(createFence),
     refusing: false,
+    refusesRecord: () => false,
     refusedReaderIds: new Set(),
     unresponsive: false,
     lostAnswerShare: 0,
--- a/test/control/simulation/serveStore.ts
+++ b/test/control/simulation/serveStore.ts
@@ -124,7 +124,7 @@
     reason,
     endOffset: end,
   });
-  if (isTooLarge(platform, encoded)) return fail('invalid');
+  if (isTooLarge(platform, encoded) || encoded.some(store.refusesRecord)) return fail('invalid');
   if (condition.type === 'endsAt' && condition.offset !== end) return fail('conflict');
   if (condition.type === 'fenced') {
     const fence = store.fences[stream];
