--- a/src/adapters/journal/decodeRecord.ts
+++ b/src/adapters/journal/decodeRecord.ts
@@ -86,8 +86,9 @@
   ],
   [
     journalKeyPrefixes.speeds,
-    (value) => ({
+    (value, part) => ({
       type: 'speeds',
+      part: Number(part),
       speeds: recordSchemas.speeds
         .parse(value)
         .map(([workerId, mean, variance]) => ({ workerId, logSlowdown: { mean, variance } })),
--- a/src/adapters/journal/encodeRecord.ts
+++ b/src/adapters/journal/encodeRecord.ts
@@ -70,8 +70,8 @@
     key: journalKeyPrefixes.lead,
     value: pack({ token, vmId, resigned }),
   }),
-  speeds: ({ speeds }) => ({
-    key: journalKeyPrefixes.speeds,
+  speeds: ({ part, speeds }) => ({
+    key: part === 0 ? journalKeyPrefixes.speeds : `${journalKeyPrefixes.speeds}/${part}`,
     value: pack(
       speeds.map(({ workerId, logSlowdown }) => [workerId, logSlowdown.mean, logSlowdown.variance]),
     ),
--- a/src/control/journal/RunsRecord.ts
+++ b/src/control/journal/RunsRecord.ts
@@ -11,6 +11,7 @@
   | { type: 'progress'; id: string; progress: JobProgress }
   | { type: 'progressHead'; id: string; head: ProgressHead }
   | { type: 'progressPart'; id: string; part: number; tasks: TaskProgress[] }
-  | { type: 'speeds'; speeds: WorkerSpeed[] }
+  /** Those of a large fleet take several records, numbered from 0. */
+  | { type: 'speeds'; part: number; speeds: WorkerSpeed[] }
   | { type: 'usage'; total: UsageTotal }
   | Extract<JournalRecord, { type: 'lead' | 'dropped' }>;
--- a/src/control/journal/recordHandlers.ts
+++ b/src/control/journal/recordHandlers.ts
@@ -22,8 +22,8 @@
   progressHead: applyProgressHead,
   progressPart: applyProgressPart,
   lead: applyLeaderRecord,
-  speeds: (state, { speeds }) => {
-    if (state.term) state.term.predecessor.speeds = speeds;
+  speeds: (state, { part, speeds }) => {
+    state.term?.predecessor.speeds.set(part, speeds);
     return [];
   },
   usage: applyUsageRecord,
--- a/src/control/lead/PredecessorState.ts
+++ b/src/control/lead/PredecessorState.ts
@@ -11,7 +11,8 @@
   heads: Map<string, ProgressHead & { offset: number }>;
   /** Newest parts of divided progress by part ID. */
   parts: Map<string, ProgressPart>;
-  speeds: WorkerSpeed[];
+  /** Worker speeds by the number of their record. */
+  speeds: Map<number, WorkerSpeed[]>;
   /** Offset of the newest record of each usage total, by usage key. */
   usageOffsets: Map<string, number>;
 }
--- a/src/control/lead/advanceTerm.ts
+++ b/src/control/lead/advanceTerm.ts
@@ -23,10 +23,14 @@
 
 /** Restores the worker speeds that earlier leaders estimated. */
 const restoreSpeeds = (term: Term): void => {
-  term.predecessor.speeds.forEach(({ workerId, logSlowdown }) => {
-    const worker = term.workers.get(workerId);
-    if (worker) worker.logSlowdown = { ...logSlowdown };
-  });
+  // The last records are left from when there were more workers; what others say of the same worker is newer.
+  const records = [...term.predecessor.speeds].sort(([a], [b]) => b - a);
+  records.forEach(([, speeds]) =>
+    speeds.forEach(({ workerId, logSlowdown }) => {
+      const worker = term.workers.get(workerId);
+      if (worker) worker.logSlowdown = { ...logSlowdown };
+    }),
+  );
 };
 
 type PhaseHandler = (state: State, term: Term, now: Now) => Effect[];
--- a/src/control/lead/beginTerm.ts
+++ b/src/control/lead/beginTerm.ts
@@ -28,7 +28,7 @@
       progress: new Map(),
       heads: new Map(),
       parts: new Map(),
-      speeds: [],
+      speeds: new Map(),
       usageOffsets: new Map(),
     },
     plans: new Map(),
--- a/test/control/recordSizes.test.ts
+++ b/test/control/recordSizes.test.ts
@@ -43,6 +43,7 @@
   }),
   fc.record({
     type: fc.constant('speeds' as const),
+    part: fc.nat({ max: 20 }),
     speeds: fc.array(
       fc.record({
         workerId: text,
