--- a/test/platform/createStoreRunners.test.ts
+++ b/test/platform/createStoreRunners.test.ts
@@ -4,6 +4,7 @@
 import { createStoreClients } from '../../platform/createStoreClients.js';
 import { createStoreRunners } from '../../platform/createStoreRunners.js';
 import { createLoopClock } from '../../src/adapters/loop/createLoopClock.js';
+import type { StreamEffect } from '../../src/control/streams/StreamEffect.js';
 import type { StreamEvent } from '../../src/control/streams/StreamEvent.js';
 
 let server: Server | null = null;
@@ -13,8 +14,14 @@
   server?.close();
 });
 
+type Append = Extract<StreamEffect, { type: 'append' }>;
+
 /** Appends at a store that answers with this status and reason; returns the event that follows. */
-const appendAt = async (status: number, reason: string): Promise<StreamEvent> => {
+const appendAt = async (
+  status: number,
+  reason: string,
+  records: Append['records'] = [],
+): Promise<StreamEvent> => {
   const started = createServer((request, response) => {
     request.resume();
     response.writeHead(status);
@@ -30,7 +37,7 @@
       type: 'append',
       appendId: 1,
       stream: 'runs',
-      records: [],
+      records,
       condition: { type: 'fenced', token: 1, sequence: 0 },
       timeoutMs: 5000,
     });
@@ -53,3 +60,18 @@
 ] as const)('an append answered with %i %s has failed as %s', async (status, reason, failure) => {
   expect(await appendAt(status, reason)).toMatchObject({ type: 'appendFailed', reason: failure });
 });
+
+// Guards against a record that can't be encoded, which was an internal error and ended the term of each leader in turn.
+test('an append of a record that cannot be encoded is invalid', async () => {
+  const total = {
+    workspace: 'w'.repeat(300),
+    day: '2026-12-06',
+    runs: 1,
+    gpuMs: 0,
+    cpuMs: 0,
+    unknownRuns: 0,
+    unknownGpuMs: 0,
+  };
+  const event = await appendAt(200, '', [{ type: 'usage', total }]);
+  expect(event).toMatchObject({ type: 'appendFailed', reason: 'invalid' });
+});
