Find the members of changed gangs once, and hold a late end of a refused job

Two faults of the division of progress, found by reading it again before anybody met them:

Gangs are collected first.

An end of a run that had been given up as lost, on a worker not known to run any of a refused job, was acknowledged without a record: a later leader would have run the task again (TWICE). Its worker's ends are now held too. Test: "a late end of a refused job is not acknowledged" (test/control/refusedRecords.test.ts) fails without that line.

--- a/src/control/plans/addDueOccurrences.ts
+++ b/src/control/plans/addDueOccurrences.ts
@@ -7,8 +7,8 @@
 // nothing by being created once these have started.
 const maxWaitingTasks = 512;
 
-// Stored progress has a row for each started task of an open occurrence, and the store refuses records of more than
-// 256 KiB. A row takes up to 40 bytes, a checkpoint not counted.
+// Stored progress has a row for each started task of an open occurrence. The rows of this many, of up to 40 bytes each
+// without checkpoints, fit into one record of 256 KiB, which former versions read too.
 const maxOpenTasks = 6000;
 
 const countOpenTasks = ({ occurrences }: JobPlan): number =>
--- a/src/control/plans/restoreParts.ts
+++ b/src/control/plans/restoreParts.ts
@@ -26,7 +26,7 @@
     task.part = part;
     tasks.get(part)?.add(task);
   });
-  const nextNumber = Math.max(-1, ...partNumbers) + 1;
+  const nextNumber = partNumbers.reduce((highest, part) => Math.max(highest, part), -1) + 1;
   plan.parts = { nextNumber, tasks, isMainWritten: isComplete };
   if (isComplete) return;
   markUnwritten(
--- a/src/control/progress/buildPartRecords.ts
+++ b/src/control/progress/buildPartRecords.ts
@@ -32,8 +32,16 @@
 };
 
 /** Whether a row of the part has changed, or belongs to an occurrence that is finished. */
-const isPartChanged = (plan: JobPlan, tasks: Set<Task>, changed: ReadonlySet<Task>): boolean =>
-  [...tasks].some((task) => changed.has(task) || !plan.occurrences.has(task.occurrence));
+const isPartChanged = (
+  plan: JobPlan,
+  tasks: ReadonlySet<Task>,
+  changed: ReadonlySet<Task>,
+): boolean => {
+  for (const task of tasks) {
+    if (changed.has(task) || !plan.occurrences.has(task.occurrence)) return true;
+  }
+  return false;
+};
 
 /**
  * Builds the records of the parts that hold the changed tasks. Rows that no longer fit into their part, and those of
--- a/src/control/progress/buildProgressRecords.ts
+++ b/src/control/progress/buildProgressRecords.ts
@@ -6,6 +6,7 @@
 import type { JobPlan } from '../plans/JobPlan.js';
 import { listStartedTasks } from '../plans/listStartedTasks.js';
 import type { ProgressParts } from '../plans/ProgressParts.js';
+import type { StepPlan } from '../plans/StepPlan.js';
 import type { Task } from '../plans/Task.js';
 import type { StoreLimits } from '../settings/StoreLimits.js';
 import { buildPartRecords } from './buildPartRecords.js';
@@ -14,13 +15,16 @@
 type ProgressRecord = Extract<RunsRecord, { type: 'progress' }>;
 
 /** The members of a gang share its failures, its checkpoint and its end. */
-const addGangMembers = (plan: JobPlan, changed: ReadonlySet<Task>): Set<Task> =>
-  new Set(
-    [...changed].flatMap((task) => {
-      const step = plan.occurrences.get(task.occurrence)?.steps[task.step];
-      return step?.definition.gang ? step.tasks : [task];
-    }),
-  );
+const addGangMembers = (plan: JobPlan, changed: ReadonlySet<Task>): Set<Task> => {
+  const gangs = new Set<StepPlan>();
+  changed.forEach((task) => {
+    const step = plan.occurrences.get(task.occurrence)?.steps[task.step];
+    if (step?.definition.gang) gangs.add(step);
+  });
+  const members = new Set(changed);
+  gangs.forEach(({ tasks }) => tasks.forEach((task) => members.add(task)));
+  return members;
+};
 
 /**
  * The main record of divided progress: a former version, which doesn't read the parts, finds no occurrence that is
--- a/src/control/runs/handleRunDone.ts
+++ b/src/control/runs/handleRunDone.ts
@@ -46,6 +46,8 @@
   }
   markTaskDone(location.plan, location.occurrence, location.step, task);
   markUnwritten(term, task.jobId, [task]);
+  // An earlier run of the task, on a worker that was not known to run any of the job.
+  term.refusedJobs.get(task.jobId)?.heldWorkerIds.add(worker.id);
   if (isPlanDone(location.plan)) effects.push(...finishPlan(term, location.plan, 'completed', now));
   return effects;
 };
--- a/test/control/refusedRecords.test.ts
+++ b/test/control/refusedRecords.test.ts
@@ -1,22 +1,25 @@
 import { expect, test } from '@jest/globals';
 import type { EncodedRecord } from '../../src/adapters/journal/EncodedRecord.js';
+import { requeueTask } from '../../src/control/runs/requeueTask.js';
 import { advanceTime } from './simulation/advanceTime.js';
 import { createFakePlatform } from './simulation/createFakePlatform.js';
 import { endRun } from './simulation/endRun.js';
 import type { FakePlatform } from './simulation/FakePlatform.js';
+import { findLeader } from './simulation/findLeader.js';
 import { findRunViolations } from './simulation/findRunViolations.js';
 import { getJobState } from './simulation/getJobState.js';
+import { simulationStartMs } from './simulation/simulationStartMs.js';
 import { submitJob } from './simulation/submitJob.js';
 
 const smallNeed = { cpu: 50, memMb: 10, gpu: 0 };
 
 const listTermEnds = ({ logs }: FakePlatform) => logs.filter(({ code }) => code === 'term_ended');
 
-/** Whether the record is progress of the job, and not just its end. */
+/** Whether the record is progress of the job with the row of a task, and not just its end. */
 const isProgressOf =
   (id: string) =>
   ({ key, value }: EncodedRecord): boolean =>
-    key === `p/${id.padStart(16, '0')}` && value.length > 50;
+    key === `p/${id.padStart(16, '0')}` && value.length > 22;
 
 const startPlatform = (): FakePlatform => {
   const platform = createFakePlatform({ vms: 2, workers: 2 });
@@ -110,3 +113,39 @@
   expect([...platform.workers.values()].flatMap((worker) => worker.unacknowledgedEnds)).toEqual([]);
   expect(listTermEnds(platform)).toEqual([]);
 });
+
+// Guards against an end of a refused job that is acknowledged without a record, because it came from a run that was
+// given up as lost: the next leader would run the task again.
+test('a late end of a refused job is not acknowledged', () => {
+  const platform = createFakePlatform({ vms: 2, workers: 2 });
+  advanceTime(platform, 3000);
+  submitJob(platform, 'a', {
+    runMs: 12_000,
+    steps: [
+      { count: 1, need: smallNeed },
+      // No worker has that label, so that the job goes on.
+      { count: 1, need: smallNeed, requiredLabel: 'r9' },
+    ],
+  });
+  advanceTime(platform, 1000);
+  const [first] = platform.runs;
+  const lost = platform.workers.get(first!.workerId)!;
+  const { term } = findLeader(platform)!.state;
+  // The leader takes the run for lost and starts the task on the other worker.
+  const task = term!.workers.get(lost.id)!.tasks.get(first!.task)!;
+  lost.partitioned = true;
+  requeueTask(term!, task, 'lease-over', {
+    at: platform.now,
+    wall: simulationStartMs + platform.now,
+    responsiveAt: platform.now,
+  });
+  term!.workers.get(lost.id)!.quarantinedUntil = platform.now + 60_000;
+  advanceTime(platform, 1000);
+  platform.store.refusesRecord = isProgressOf('a');
+  endRun(platform, platform.runs[1]!, 'stopped');
+  advanceTime(platform, 300);
+  endRun(platform, first!, 'done');
+  lost.partitioned = false;
+  advanceTime(platform, 4000);
+  expect(lost.unacknowledgedEnds).toHaveLength(1);
+});
