--- a/src/control/plans/buildPlans.ts
+++ b/src/control/plans/buildPlans.ts
@@ -1,4 +1,5 @@
 import type { Effect } from '../Effect.js';
+import { groupBy } from '../groupBy.js';
 import type { JobProgress } from '../jobs/JobProgress.js';
 import type { ProgressPart } from '../jobs/ProgressPart.js';
 import type { PredecessorState } from '../lead/PredecessorState.js';
@@ -7,7 +8,6 @@
 import type { State } from '../State.js';
 import { addPlan } from './addPlan.js';
 import { finishPlan } from './finishPlan.js';
-import { groupByJob } from './groupByJob.js';
 import { hasBegunTask } from './hasBegunTask.js';
 import { isJobEnded } from './isJobEnded.js';
 import type { JobPlan } from './JobPlan.js';
@@ -58,7 +58,7 @@
 export const buildPlans = (state: State, term: Term, now: Now): Effect[] => {
   const effects: Effect[] = [];
   const { predecessor } = term;
-  const partsByJob = groupByJob(predecessor.parts.values());
+  const partsByJob = groupBy(predecessor.parts.values(), ({ id }) => id);
   state.jobs.forEach((job) => {
     const plan = addPlan(state, job);
     if (!plan) return;
--- a/src/control/plans/buildProgress.ts
+++ b/src/control/plans/buildProgress.ts
@@ -7,7 +7,7 @@
 import type { JobPlan } from './JobPlan.js';
 import type { OccurrencePlan } from './OccurrencePlan.js';
 
-const listStartedTasks = (occurrence: OccurrencePlan, now: Now): TaskProgress[] =>
+const buildStartedRows = (occurrence: OccurrencePlan, now: Now): TaskProgress[] =>
   occurrence.steps.flatMap((step) =>
     step.tasks.filter(({ run }) => run > 0).map((task) => buildTaskProgress(step, task, now)),
   );
@@ -33,5 +33,5 @@
   openOccurrences: [...plan.occurrences.keys()],
   tasks: isJobEnded(plan.state)
     ? []
-    : [...plan.occurrences.values()].flatMap((occurrence) => listStartedTasks(occurrence, now)),
+    : [...plan.occurrences.values()].flatMap((occurrence) => buildStartedRows(occurrence, now)),
 });
--- a/src/control/progress/buildProgressRecords.ts
+++ b/src/control/progress/buildProgressRecords.ts
@@ -56,7 +56,6 @@
     ...buildPartRecords(plan, parts, changed, limits, now),
   ];
   if (!parts.isMainWritten) records.push(buildDividedMain(plan));
-
   parts.isMainWritten = true;
   return records;
 };
@@ -96,7 +95,6 @@
   };
   if (isJobEnded(plan.state)) return buildEndRecords(plan, main);
   if (measureRecordBytes(main) <= limits.maxRecordBytes) return [main];
-
   plan.parts = { nextNumber: 0, tasks: new Map(), isMainWritten: false };
   return buildDividedRecords(plan, plan.parts, listStartedTasks(plan), limits, now);
 };
